--- /dev/null
+++ b/bergamotcourse/coordination/jobs/executor.py
@@ -0,0 +1,510 @@
+"""The agent's executor: the only one that gives orders to its upstream.
+
+It queues placed runs for room, starts them, renews the upstream's lease, stops what
+must end, and reports exactly one outcome for each run.
+"""
+
+from collections.abc import Callable
+
+import trio
+
+from bergamotcourse.coordination.event_log import EventLog
+from bergamotcourse.coordination.jobs.lease_terms import (
+    HOLD_TIMEOUT_SECONDS,
+    HOLD_WAIT_SECONDS,
+    LAPSE_SECONDS,
+)
+from bergamotcourse.coordination.jobs.task_runs import PlacedRun, RunState
+from bergamotcourse.coordination.jobs.upstream_health import UpstreamHealth
+from bergamotcourse.coordination.jobs.upstream_life import UpstreamLife
+from bergamotcourse.coordination.timers import Timers
+from bergamotcourse.ids import LinkAddress
+from bergamotcourse.protocol.task_messages import Outcome, PlaceTask, TaskEnded
+from bergamotcourse.protocol.upstream_orders import (
+    EndedRun,
+    EndKind,
+    HoldFailure,
+    Holding,
+    OrderPort,
+    RunKey,
+    StartOrder,
+    StartVerdict,
+    UpstreamReport,
+)
+from bergamotcourse.state.resources import NOTHING, Resources
+
+START_TIMEOUT_SECONDS = 0.12
+"""An upstream beside its agent answers an order within a few milliseconds."""
+
+START_ATTEMPTS = 3
+"""An order to start may be repeated: the upstream takes a copy for the same run."""
+
+STOP_TIMEOUT_SECONDS = 0.12
+RETRY_SECONDS = 0.03
+"""Pause before an order that failed is given again."""
+
+ROOM_PAUSE_SECONDS = 0.02
+"""Pause after the upstream had no room although the agent counted some."""
+
+MOST_FAILED_HOLDS = 3
+"""After so many renewals without an answer the lease is left to lapse: each might have
+extended it, so the runs would never be known to be over."""
+
+LOOK_SECONDS = 0.5
+"""Pause between two looks at an upstream that does not answer."""
+
+LOOK_AHEAD = 4
+"""Waiting runs behind the first that may go before it where only they fit."""
+
+OUTCOMES = {
+    EndKind.DONE: Outcome.DONE,
+    EndKind.FAILED: Outcome.FAILED,
+    EndKind.STOPPED: Outcome.STOPPED,
+    EndKind.LAPSED: Outcome.LOST,
+}
+
+Reporter = Callable[[LinkAddress, TaskEnded], None]
+"""Told the outcome of a run, for the entry that placed it."""
+
+
+class Executor:
+    """Runs tasks on one upstream.
+
+    Attributes:
+        connect: Returns the port to one life of an upstream.
+        report_end: Told each outcome.
+        room_changed: Called when room at the upstream gets free or goes.
+        may_start: Asked right before an order to start whether the entry that placed
+            the run is still in contact.
+        born: When this process began; runs of an earlier one are over
+            ``LAPSE_SECONDS`` after it.
+        stopping: Nothing new is taken.
+    """
+
+    def __init__(
+        self,
+        connect: Callable[[UpstreamReport], OrderPort],
+        timers: Timers,
+        log: EventLog,
+    ):
+        self.connect = connect
+        self.timers = timers
+        self.log = log
+        self.report_end: Reporter = lambda _entry, _ended: None
+        self.room_changed: Callable[[], None] = lambda: None
+        self.may_start: Callable[[LinkAddress], bool] = lambda _entry: True
+        self.born = timers.lease_now()
+        self.life: UpstreamLife | None = None
+        self.former: set[str] = set()
+        self.runs: dict[RunKey, PlacedRun] = {}
+        self.queue: list[PlacedRun] = []
+        self.used = NOTHING
+        self.holds = 0
+        self.paused_until = 0.0
+        self.stopping = False
+        self.health = UpstreamHealth()
+        self.nursery: trio.Nursery | None = None
+        self.wake = trio.Event()
+
+    # What the agent is told.
+
+    def hear_upstream(self, report: UpstreamReport) -> bool:
+        """Take an upstream's report of itself; false if it is of a former life."""
+        life = self.life
+        if life is not None and life.report.id == report.id:
+            if report.sequence >= life.report.sequence:
+                self._update(life, report)
+            return True
+        if report.id in self.former:
+            self.log.write("upstream.report_ignored", upstream=report.id)
+            return False
+        if life is not None:
+            self._end_life("another upstream at its place")
+        self._begin_life(report)
+        return True
+
+    def upstream_left(self, upstream: str) -> None:
+        """Take the planned end of an upstream."""
+        if self.life is not None and self.life.report.id == upstream:
+            self._end_life("it left")
+
+    def place(self, entry: LinkAddress, order: PlaceTask) -> None:
+        """Take a run that an entry places."""
+        if order.key in self.runs:
+            return
+        run = PlacedRun(order.key, entry, order, self.timers.now())
+        self.runs[order.key] = run
+        refusal = self.refusal()
+        if refusal is not None:
+            self._finish(run, Outcome.RETURNED, refusal)
+            return
+        self.queue.append(run)
+        self.pump()
+        if run.state is RunState.QUEUED and self.nursery is not None:
+            self.nursery.start_soon(self._return_after, run, order.patience / 1000)
+
+    def withdraw(self, entry: LinkAddress, key: RunKey) -> None:
+        """End a run, or bar one that is unknown here."""
+        run = self.runs.get(key)
+        if run is None:
+            # An order of an earlier process may still be on its way.
+            run = PlacedRun(key, entry, None, self.timers.now(), RunState.STOPPING)
+            run.asked_start = True
+            self.runs[key] = run
+            self._spawn_stop(run)
+            return
+        self._stop(run, "withdrawn")
+
+    def withdraw_all(self, entry: LinkAddress, why: str) -> None:
+        """End all runs of an entry."""
+        for run in list(self.runs.values()):
+            if run.entry == entry:
+                self._stop(run, why)
+
+    def return_waiting(self, why: str) -> None:
+        """Give all runs that wait for room back to their entries."""
+        for run in list(self.queue):
+            self.queue.remove(run)
+            self._finish(run, Outcome.RETURNED, why)
+
+    def stop_all(self, why: str) -> None:
+        """Stop all runs."""
+        for run in list(self.runs.values()):
+            self._stop(run, why)
+
+    # What the agent may ask.
+
+    def refusal(self) -> str | None:
+        """Return why no task is taken now, or ``None``."""
+        if self.stopping:
+            return "the agent is stopping"
+        if self.life is None:
+            return "no upstream"
+        if self.life.report.draining:
+            return "the upstream is draining"
+        if self.life.failed_holds >= MOST_FAILED_HOLDS:
+            return "the upstream does not answer"
+        return None
+
+    def capacity(self) -> Resources:
+        """Return what can be placed at most, nothing while no task is taken."""
+        if self.refusal() is not None:
+            return NOTHING
+        return self.life.report.capacity
+
+    def committed(self, entry: LinkAddress | None = None) -> Resources:
+        """Return the needs of all runs here, or of those of one entry."""
+        total = NOTHING
+        for run in self.runs.values():
+            if entry is None or run.entry == entry:
+                total = total + run.needs
+        return total
+
+    # Queue and starts.
+
+    def pump(self) -> None:
+        """Start what fits, in the order of rank."""
+        if self.nursery is None or self.refusal() is not None:
+            return
+        if self.timers.now() < self.paused_until:
+            return
+        self.queue.sort(key=PlacedRun.rank)
+        while (run := self._next_that_fits()) is not None:
+            self.queue.remove(run)
+            if not self.may_start(run.entry):
+                self._finish(run, Outcome.RETURNED, "contact with the entry is lost")
+                continue
+            self._start(run)
+
+    async def run(self) -> None:
+        """Serve the upstream until cancelled."""
+        async with trio.open_nursery() as nursery:
+            self.nursery = nursery
+            while True:
+                await self._wait_for_work()
+                if self.life is not None:
+                    await self._hold(self.life)
+
+    def _next_that_fits(self) -> PlacedRun | None:
+        room = self.life.report.capacity - self.used
+        for run in self.queue[: LOOK_AHEAD + 1]:
+            if run.needs.fits(room):
+                return run
+        return None
+
+    def _start(self, run: PlacedRun) -> None:
+        run.state = RunState.STARTING
+        run.asked_start = True
+        self.used = self.used + run.needs
+        self.nursery.start_soon(self._order_start, run, self.life)
+
+    async def _order_start(self, run: PlacedRun, life: UpstreamLife) -> None:
+        verdict = StartVerdict.UNKNOWN
+        for _ in range(START_ATTEMPTS):
+            order = StartOrder(
+                run.key, run.order.payload, life.renew(self.timers.lease_now())
+            )
+            reply = await life.port.start(order, START_TIMEOUT_SECONDS)
+            life.hear_clock(reply.clock, self.timers.lease_now())
+            verdict = reply.verdict
+            if verdict is not StartVerdict.UNKNOWN or run.stop_wanted:
+                break
+        if run.key not in self.runs or life is not self.life:
+            return
+        self._take_verdict(run, verdict)
+
+    def _take_verdict(self, run: PlacedRun, verdict: StartVerdict) -> None:
+        self.log.write(
+            "run.start",
+            request=run.order.request,
+            task=run.key.task,
+            run=run.key.number,
+            verdict=verdict.value,
+            waited_ms=self._ms_since(run.placed_at),
+        )
+        match verdict:
+            case StartVerdict.STARTED:
+                self._started(run)
+            case StartVerdict.UNKNOWN:
+                self._stop(run, "the order to start had no answer")
+            case StartVerdict.NO_ROOM:
+                self._requeue(run)
+            case StartVerdict.STALE:
+                self._finish(run, Outcome.STALE, verdict.value)
+            case StartVerdict.UNHEALTHY:
+                self.health.refused(self.timers.now())
+                self._finish(run, Outcome.RETURNED, verdict.value)
+            case _:
+                self._finish(run, Outcome.RETURNED, verdict.value)
+
+    def _started(self, run: PlacedRun) -> None:
+        if run.state is RunState.STARTING:
+            run.state = RunState.RUNNING
+        run.started_at = run.progress_at = self.timers.now()
+        self.wake.set()
+        if run.stop_wanted:
+            self._spawn_stop(run)
+
+    def _requeue(self, run: PlacedRun) -> None:
+        if run.stop_wanted:
+            self._finish(run, Outcome.RETURNED, "no room")
+            return
+        run.state = RunState.QUEUED
+        run.asked_start = False
+        self.used = self.used - run.needs
+        self.queue.append(run)
+        self.paused_until = self.timers.now() + ROOM_PAUSE_SECONDS
+        self.nursery.start_soon(self._pump_after_pause)
+
+    async def _return_after(self, run: PlacedRun, seconds: float) -> None:
+        """Return a run that found no room in time: it may find some elsewhere."""
+        await trio.sleep(seconds)
+        if run in self.queue:
+            self.queue.remove(run)
+            self._finish(run, Outcome.RETURNED, "no room")
+
+    async def _pump_after_pause(self) -> None:
+        await trio.sleep(ROOM_PAUSE_SECONDS)
+        self.pump()
+
+    # Stops.
+
+    def _stop(self, run: PlacedRun, why: str) -> None:
+        if run.stop_wanted:
+            return
+        run.stop_wanted = True
+        self.log.write(
+            "run.stop", task=run.key.task, run=run.key.number, why=why, was=run.state
+        )
+        match run.state:
+            case RunState.QUEUED:
+                self.queue.remove(run)
+                self._finish(run, Outcome.RETURNED, why)
+            case RunState.STARTING:
+                # The task that orders the start goes on here, once it has an answer,
+                # or has none.
+                run.state = RunState.STOPPING
+                self._spawn_stop(run)
+            case RunState.RUNNING:
+                run.state = RunState.STOPPING
+                self._spawn_stop(run)
+
+    def _spawn_stop(self, run: PlacedRun) -> None:
+        run.stop_wanted = True
+        if self.nursery is not None:
+            self.nursery.start_soon(self._order_stop, run)
+
+    async def _order_stop(self, run: PlacedRun) -> None:
+        """Stop a run until the upstream says so, or is gone."""
+        while self.runs.get(run.key) is run and run.barred < 0:
+            life = self.life
+            if life is None:
+                await trio.sleep(RETRY_SECONDS)
+                self._lapse_if_due()
+                continue
+            if await life.port.stop(run.key, STOP_TIMEOUT_SECONDS):
+                run.barred = self.holds
+                self.wake.set()
+                return
+            await trio.sleep(RETRY_SECONDS)
+
+    # Holds.
+
+    async def _wait_for_work(self) -> None:
+        while not self._needs_hold():
+            self.wake = trio.Event()
+            with trio.move_on_after(LOOK_SECONDS):
+                await self.wake.wait()
+            self._lapse_if_due()
+
+    def _needs_hold(self) -> bool:
+        life = self.life
+        if life is None:
+            return False
+        return life.noted > life.told or any(
+            run.asked_start for run in self.runs.values()
+        )
+
+    async def _hold(self, life: UpstreamLife) -> None:
+        self.holds += 1
+        number = self.holds
+        renews = life.failed_holds < MOST_FAILED_HOLDS and bool(self.runs)
+        until = life.renew(self.timers.lease_now()) if renews else None
+        noted = life.noted
+        wait = HOLD_WAIT_SECONDS if self.runs else 0.0
+        answer = await life.port.hold(noted, until, wait, HOLD_TIMEOUT_SECONDS)
+        if life is not self.life:
+            return
+        match answer:
+            case Holding():
+                if life.failed_holds >= MOST_FAILED_HOLDS:
+                    self.log.write("upstream.answers", upstream=life.report.id)
+                    self.room_changed()
+                life.failed_holds = 0
+                life.told = noted
+                life.hear_clock(answer.clock, self.timers.lease_now())
+                self._take_holding(life, answer, number)
+            case HoldFailure.OTHER_BOOT:
+                self._end_life("another boot answers at its address")
+            case _:
+                self._hold_failed(life, answer)
+                await trio.sleep(RETRY_SECONDS)
+
+    def _hold_failed(self, life: UpstreamLife, failure: HoldFailure) -> None:
+        life.failed_holds += 1
+        if life.failed_holds == MOST_FAILED_HOLDS:
+            self.log.write(
+                "upstream.silent", upstream=life.report.id, failure=failure.value
+            )
+            self.return_waiting("the upstream does not answer")
+            self.room_changed()
+        self._lapse_if_due()
+
+    def _lapse_if_due(self) -> None:
+        """Give up runs whose lease at a silent upstream has ended."""
+        now = self.timers.lease_now()
+        over_at = self.life.lapses_at if self.life else self.born + LAPSE_SECONDS
+        silent = self.life is None or self.life.failed_holds >= MOST_FAILED_HOLDS
+        if not silent or now < over_at:
+            return
+        for run in list(self.runs.values()):
+            if run.occupies:
+                self._finish(run, Outcome.LOST, "its lease lapsed")
+
+    def _take_holding(self, life: UpstreamLife, holding: Holding, number: int) -> None:
+        for ended in holding.ended:
+            if ended.number > life.noted:
+                life.noted = ended.number
+                self._take_end(ended)
+        listed = {running.key: running for running in holding.running}
+        now = self.timers.now()
+        for run in list(self.runs.values()):
+            running = listed.get(run.key)
+            if running is not None:
+                self._note_progress(run, running.progress, now)
+            elif 0 <= run.barred < number:
+                self._finish(run, Outcome.RETURNED, "stopped before it started")
+        self.pump()
+
+    def _note_progress(self, run: PlacedRun, progress: float, now: float) -> None:
+        if progress > run.progress:
+            run.progress = progress
+            run.progress_at = now
+
+    def _take_end(self, ended: EndedRun) -> None:
+        run = self.runs.get(ended.key)
+        if run is None:
+            return
+        ran = self.timers.now() - run.started_at if run.started_at else 0.0
+        self.health.ended(ended.kind, run, ran, self.timers.now())
+        self._finish(run, OUTCOMES[ended.kind], ended.kind.value, ran)
+
+    # Ends.
+
+    def _finish(
+        self, run: PlacedRun, outcome: Outcome, detail: str, ran: float = 0.0
+    ) -> None:
+        """Report the outcome of a run and free its room."""
+        del self.runs[run.key]
+        if run.occupies:
+            self.used = self.used - run.needs
+        self.log.write(
+            "run.end",
+            request=run.order.request if run.order else run.key.task,
+            task=run.key.task,
+            run=run.key.number,
+            outcome=outcome.value,
+            detail=detail,
+            ran_ms=round(ran * 1000),
+        )
+        self.report_end(run.entry, TaskEnded(run.key, outcome, ran, detail))
+        self.room_changed()
+
+    def _begin_life(self, report: UpstreamReport) -> None:
+        now = self.timers.lease_now()
+        lead = report.clock - now
+        self.life = UpstreamLife(
+            report, self.connect(report), lead, self.born + LAPSE_SECONDS
+        )
+        self.health = UpstreamHealth()
+        self.log.write(
+            "upstream.found",
+            upstream=report.id,
+            service=report.service,
+            cpu=report.capacity.cpu,
+        )
+        # Shows this process's token, so that orders of an earlier one are refused.
+        self.nursery.start_soon(self._look, self.life)
+        self.room_changed()
+
+    async def _look(self, life: UpstreamLife) -> None:
+        answer = HoldFailure.NO_ANSWER
+        while life is self.life and not isinstance(answer, Holding):
+            answer = await life.port.hold(life.noted, None, 0.0, HOLD_TIMEOUT_SECONDS)
+            if answer is HoldFailure.OTHER_BOOT and life is self.life:
+                self._end_life("another boot answers at its address")
+            if not isinstance(answer, Holding):
+                await trio.sleep(RETRY_SECONDS)
+
+    def _end_life(self, why: str) -> None:
+        life = self.life
+        self.life = None
+        self.former.add(life.report.id)
+        self.log.write("upstream.gone", upstream=life.report.id, why=why)
+        self.nursery.start_soon(life.port.aclose)
+        self.return_waiting("the upstream is gone")
+        for run in list(self.runs.values()):
+            self._finish(run, Outcome.LOST, "the upstream is gone")
+        self.room_changed()
+
+    def _update(self, life: UpstreamLife, report: UpstreamReport) -> None:
+        began_draining = report.draining and not life.report.draining
+        life.report = report
+        life.hear_clock(report.clock, self.timers.lease_now())
+        if began_draining:
+            self.log.write("upstream.draining", upstream=report.id)
+            self.return_waiting("the upstream is draining")
+            self.room_changed()
+
+    def _ms_since(self, time: float) -> int:
+        return round((self.timers.now() - time) * 1000)
--- /dev/null
+++ b/bergamotcourse/coordination/jobs/job_dispatcher.py
@@ -0,0 +1,278 @@
+"""The entry's dispatcher of jobs: takes them, places their tasks, settles them."""
+
+from collections import Counter
+
+import trio
+
+from bergamotcourse.coordination.event_log import EventLog
+from bergamotcourse.coordination.jobs.agent_links import AgentLink, AgentLinks
+from bergamotcourse.coordination.jobs.job_order import order_key, wait_refusal
+from bergamotcourse.coordination.jobs.job_run import (
+    JobOutcome,
+    JobRun,
+    TaskRun,
+    TaskState,
+)
+from bergamotcourse.coordination.jobs.placement import choose
+from bergamotcourse.coordination.timers import Timers
+from bergamotcourse.protocol.task_messages import Outcome, PlaceTask, TaskEnded
+from bergamotcourse.state.job_spec import JobId, JobQueue, JobSpec
+
+ANSWER_SECONDS = 0.06
+"""Left of a caller's time for the answer's way back."""
+
+STALE_STEP = 1
+"""A run whose number an upstream refused is tried with the next one."""
+
+PATIENCE_MS = 15
+"""A run that finds no room after all comes back after this: two entries may have
+counted on the same room."""
+
+
+class JobDispatcher:
+    """Takes jobs and sees each to its outcome.
+
+    Attributes:
+        jobs: Those without an outcome, by id.
+        waiting: Those with tasks that are to be placed.
+        outcomes: Counts by outcome.
+    """
+
+    def __init__(self, zone: str, links: AgentLinks, timers: Timers, log: EventLog):
+        self.zone = zone
+        self.links = links
+        self.timers = timers
+        self.log = log
+        self.jobs: dict[JobId, JobRun] = {}
+        self.waiting: list[JobRun] = []
+        self.outcomes: Counter[JobOutcome] = Counter()
+        self.was_waiting = False
+        links.on_end = self.take_end
+        links.on_room = self.pump
+        links.is_waiting = self.is_waiting
+
+    def is_waiting(self) -> bool:
+        """Return whether tasks wait for room."""
+        return bool(self.waiting)
+
+    def pending_jobs(self, queue: str) -> int:
+        """Return the number of jobs of a queue none of whose tasks was placed."""
+        return sum(
+            job.queue.name == queue and not job.placed_any for job in self.jobs.values()
+        )
+
+    async def submit(self, spec: JobSpec, queue: JobQueue, seconds: float) -> JobRun:
+        """Run a job to its outcome.
+
+        Args:
+            spec: The job.
+            queue: Its queue.
+            seconds: For how long the caller waits for the answer.
+
+        Returns:
+            The job with its outcome. Cancelling the call withdraws the job.
+        """
+        job = self.jobs.get(spec.id)
+        if job is None:
+            job = self._take(spec, queue)
+        job.callers += 1
+        try:
+            await self._see_to_its_end(job, seconds - ANSWER_SECONDS)
+        finally:
+            job.callers -= 1
+            if not job.callers:
+                self._settle(job)
+        return job
+
+    def cancel(self, job_id: JobId) -> bool:
+        """Cancel a job; false if it is not known."""
+        job = self.jobs.get(job_id)
+        if job is None:
+            return False
+        job.finish(JobOutcome.CANCELLED, "cancelled by its caller")
+        self._withdraw(job)
+        return True
+
+    def give_up_all(self, why: str) -> None:
+        """Give all jobs an outcome, before this process ends."""
+        for job in list(self.jobs.values()):
+            outcome = JobOutcome.TIMED_OUT if job.placed_any else JobOutcome.REFUSED
+            job.finish(outcome, why)
+
+    def pump(self) -> None:
+        """Place what finds room, in order."""
+        if not self.waiting:
+            return
+        links = self.links.usable()
+        now = self.timers.now()
+        self.waiting.sort(key=lambda job: order_key(job, now))
+        for job in list(self.waiting):
+            if not self._place_pending(job, links, now):
+                break
+        if self.waiting and not self.was_waiting:
+            self.links.tell_waiting()
+        self.was_waiting = bool(self.waiting)
+
+    def take_end(self, task: TaskRun, link: AgentLink, ended: TaskEnded) -> None:
+        """Take the outcome of a run."""
+        job = task.job
+        current = task.state is TaskState.PLACED and task.key == ended.key
+        if job.outcome is not None or task.state is TaskState.DONE:
+            return
+        if ended.outcome is Outcome.DONE:
+            self._task_done(job, task)
+            return
+        if ended.outcome is Outcome.FAILED:
+            task.failures += 1
+            task.avoid.add(link.name)
+            if task.failures >= job.queue.max_attempts:
+                job.finish(
+                    JobOutcome.FAILED, f"{task.name} failed {task.failures} times"
+                )
+                return
+        if current:
+            self._place_again(job, task, ended)
+
+    # Taking and settling.
+
+    def _take(self, spec: JobSpec, queue: JobQueue) -> JobRun:
+        job = JobRun(spec, queue, self.timers.now())
+        self.jobs[spec.id] = job
+        self.waiting.append(job)
+        self.log.write(
+            "job.taken",
+            request=spec.id,
+            queue=queue.name,
+            tasks=len(job.tasks),
+            objective_ms=round(job.objective * 1000),
+        )
+        refusal = wait_refusal(job, self.waiting, self.links.usable())
+        if refusal is not None:
+            job.retry_after = refusal.retry_after
+            job.finish(JobOutcome.REFUSED, refusal.why)
+        else:
+            self.pump()
+        return job
+
+    async def _see_to_its_end(self, job: JobRun, seconds: float) -> None:
+        now = self.timers.now()
+        give_up = min(now + seconds, job.useless_at)
+        offer_by = min(job.offer_by, give_up)
+        if not job.placed_any:
+            with trio.move_on_after(max(0.0, offer_by - now)):
+                await self._first_of(job)
+            if not job.placed_any:
+                job.retry_after = max(job.retry_after, 1.0)
+                job.finish(JobOutcome.REFUSED, "no room in time")
+        with trio.move_on_after(max(0.0, give_up - self.timers.now())):
+            await job.finished.wait()
+        if job.outcome is None:
+            job.finish(JobOutcome.TIMED_OUT, "not done in time")
+
+    async def _first_of(self, job: JobRun) -> None:
+        async with trio.open_nursery() as nursery:
+            nursery.start_soon(_cancel_after, job.finished, nursery.cancel_scope)
+            await job.offered.wait()
+            nursery.cancel_scope.cancel()
+
+    def _settle(self, job: JobRun) -> None:
+        """Forget a job that nobody waits for, and end what still runs of it."""
+        if self.jobs.get(job.spec.id) is job:
+            del self.jobs[job.spec.id]
+            job.finish(JobOutcome.CANCELLED, "its caller has gone")
+            self.outcomes[job.outcome] += 1
+            self.log.write(
+                "job.settled",
+                request=job.spec.id,
+                outcome=job.outcome.value,
+                why=job.why,
+                took_ms=round((self.timers.now() - job.arrived) * 1000),
+            )
+        self._withdraw(job)
+
+    def _withdraw(self, job: JobRun) -> None:
+        if job in self.waiting:
+            self.waiting.remove(job)
+        for task in job.tasks:
+            if task.state is TaskState.PLACED:
+                task.state = TaskState.DONE
+                self.links.withdraw(task.where, task.key)
+
+    # Tasks.
+
+    def _place_pending(self, job: JobRun, links: list[AgentLink], now: float) -> bool:
+        """Place the tasks of a job; false if one finds no room."""
+        for task in job.pending():
+            link = choose(
+                links, job.queue.service, task.spec, task.avoid, self.zone
+            ) or (
+                task.avoid
+                and choose(links, job.queue.service, task.spec, set(), self.zone)
+            )
+            if not link:
+                return False
+            self._place(job, task, link, now)
+        self.waiting.remove(job)
+        return True
+
+    def _place(self, job: JobRun, task: TaskRun, link: AgentLink, now: float) -> None:
+        task.number += 1
+        task.state = TaskState.PLACED
+        task.where = link
+        task.placed_at = now
+        order = PlaceTask(
+            key=task.key,
+            request=job.spec.id,
+            payload=job.spec.payload,
+            needs=task.spec.needs,
+            rank=round((job.start_by - now) * 1000),
+            estimate=task.spec.estimate,
+            patience=PATIENCE_MS,
+        )
+        self.links.place(link, order, task.spec.needs, task)
+        self.log.write(
+            "task.placed",
+            request=job.spec.id,
+            task=task.name,
+            run=task.number,
+            agent=link.name,
+            free_cpu=link.free().cpu,
+            heard_ms=round((now - link.heard_at) * 1000),
+            waited_ms=round((now - job.arrived) * 1000),
+        )
+        if not job.placed_any:
+            job.placed_any = True
+            job.offered.set()
+
+    def _place_again(self, job: JobRun, task: TaskRun, ended: TaskEnded) -> None:
+        task.state = TaskState.PENDING
+        task.where = None
+        self.log.write(
+            "task.again",
+            request=job.spec.id,
+            task=task.name,
+            run=task.number,
+            outcome=ended.outcome.value,
+            detail=ended.detail,
+        )
+        if job not in self.waiting:
+            self.waiting.append(job)
+
+    def _task_done(self, job: JobRun, task: TaskRun) -> None:
+        if task.state is TaskState.PLACED and task.where is not None:
+            self._end_other_run(task)
+        job.task_done(task)
+        if not job.unfinished:
+            job.finish(JobOutcome.SUCCEEDED)
+        elif job.pending() and job not in self.waiting:
+            self.waiting.append(job)
+
+    def _end_other_run(self, task: TaskRun) -> None:
+        """End a later run of a task of which an earlier one turned out done."""
+        if task.key in task.where.placed:
+            self.links.withdraw(task.where, task.key)
+
+
+async def _cancel_after(event: trio.Event, scope: trio.CancelScope) -> None:
+    await event.wait()
+    scope.cancel()
--- /dev/null
+++ b/bergamotcourse/coordination/jobs/job_order.py
@@ -0,0 +1,49 @@
+"""Which waiting job goes first, and which is refused at once: decisions alone.
+
+Load it answers: bursts above what the upstreams can do. Jobs that can still be in time
+go by the moment at which their work must begin, so short jobs with little time pass
+long ones that can wait; jobs that can only be late go behind all of these.
+"""
+
+from dataclasses import dataclass
+
+from bergamotcourse.coordination.jobs.agent_links import AgentLink
+from bergamotcourse.coordination.jobs.job_run import JobRun
+
+RETRY_SECONDS = 1.0
+"""Callers may come back after this; the shortest that the header can say."""
+
+
+@dataclass(frozen=True)
+class Refusal:
+    """Why a job is not taken, and after how many seconds it may come again."""
+
+    why: str
+    retry_after: float
+
+
+def order_key(job: JobRun, now: float) -> tuple[bool, float]:
+    """Return the place of a job among those that wait: the least goes first."""
+    is_late = now > job.start_by
+    return (is_late and not job.placed_any, job.start_by)
+
+
+def wait_refusal(
+    job: JobRun, waiting: list[JobRun], links: list[AgentLink]
+) -> Refusal | None:
+    """Return why a job that has just come is refused, or ``None``."""
+    serving = [link for link in links if link.room.service == job.queue.service]
+    if not any(link.room.capacity.cpu for link in serving):
+        return Refusal("no upstream of the service is known", RETRY_SECONDS)
+    if not all(can_ever_run(job, step, serving) for step in job.spec.steps):
+        return Refusal("no upstream is large enough", RETRY_SECONDS)
+    return None
+
+
+def can_ever_run(job: JobRun, step, links: list[AgentLink]) -> bool:
+    """Return whether some upstream could run a task of a step when empty."""
+    return any(
+        step.needs.fits(link.room.capacity)
+        and (not step.label or step.label in link.room.labels)
+        for link in links
+    )
--- /dev/null
+++ b/bergamotcourse/coordination/jobs/lease_terms.py
@@ -0,0 +1,58 @@
+"""The times that keep two runs of one task from overlapping, and their sum.
+
+A run lives under two leases. The agent keeps an entry's runs only while it is in
+contact with that entry; the upstream keeps all runs only while the agent renews its
+lease. Whoever places a task anew waits until both have surely ended, so the sum must
+stay below the time after which a caller sends a job again.
+"""
+
+CONTACT_SECONDS = 0.45
+"""An agent ends the runs of an entry so long after it sent the last message that this
+entry has echoed. Four heartbeats: three may be lost or late."""
+
+HEARTBEAT_SECONDS = 0.11
+"""Between the messages of an agent to an entry that has tasks there."""
+
+IDLE_HEARTBEAT_SECONDS = 0.33
+"""Between the messages of an agent to an entry that has no tasks there; below
+``CONTACT_SECONDS`` so that the first placement finds a live session."""
+
+ECHO_SECONDS = 0.09
+"""Longest wait of an entry before it echoes a heartbeat; under one heartbeat."""
+
+UPSTREAM_LEASE_SECONDS = 0.65
+"""Asked of the upstream with each order; three renewals may be lost."""
+
+HOLD_WAIT_SECONDS = 0.1
+HOLD_TIMEOUT_SECONDS = 0.2
+"""A renewal waits so long for news, and so long at most for its answer: three that
+fail fit into ``UPSTREAM_LEASE_SECONDS``."""
+
+CLOCK_ERROR = 0.02
+"""An upstream's clock may be slow by this share."""
+
+STOP_SECONDS = 0.05
+"""The longest that an upstream takes to stop a run."""
+
+SLACK_SECONDS = 0.05
+"""For timers that fire late and for the message that carries the last heartbeat."""
+
+LAPSE_SECONDS = UPSTREAM_LEASE_SECONDS * (1 + CLOCK_ERROR) + SLACK_SECONDS
+"""From the last order that may have renewed an upstream's lease until all runs there
+have certainly ended."""
+
+OVER_SECONDS = (
+    CONTACT_SECONDS
+    + UPSTREAM_LEASE_SECONDS * (1 + CLOCK_ERROR)
+    + STOP_SECONDS
+    + SLACK_SECONDS
+)
+"""From the last message of an agent until all runs of the receiver there are over, even
+if the agent is lost as well. Must stay below the callers' resend time of 1.3 s."""
+
+SILENT_SECONDS = 0.4
+"""An agent not heard for so long gets no more tasks: over three heartbeats."""
+
+RESEND_SECONDS = 0.25
+"""Items that were not confirmed within this are sent again: an echo and a heartbeat
+take 0.2 s at most."""
--- /dev/null
+++ b/bergamotcourse/coordination/jobs/peers.py
@@ -0,0 +1,162 @@
+"""The entry's peers: how processes find each other, and pass on the configuration.
+
+Discovery rests on three sources, any of which is enough: the addresses in the settings,
+the rows in the platform's store, and what peers tell. The configuration is read from
+the store, and from peers where the store turns this process away.
+"""
+
+from collections.abc import Callable
+from dataclasses import dataclass
+
+import trio
+
+from bergamotcourse.coordination.event_log import EventLog
+from bergamotcourse.coordination.jobs.queues_in_force import QueuesInForce
+from bergamotcourse.coordination.timers import Timers
+from bergamotcourse.ids import LinkAddress
+from bergamotcourse.protocol.mailer import Mailer
+from bergamotcourse.protocol.message import Message
+from bergamotcourse.protocol.task_messages import (
+    ConfigCopy,
+    ConfigWanted,
+    Farewell,
+    Greeting,
+)
+
+GREET_SECONDS = 0.4
+"""Between greetings to live peers: five fit into the time in which a configuration
+must be in force."""
+
+ASK_SECONDS = 2.0
+"""Between greetings that ask for everyone known, and to peers that do not answer."""
+
+FIRST_ASKS_SECONDS = 0.25
+"""Between greetings while this process knows no agent or has no configuration."""
+
+ALIVE_SECONDS = 1.5
+"""A peer that was heard within this is greeted often; over three greetings."""
+
+FORGET_SECONDS = 30.0
+"""A peer from elsewhere than the settings is forgotten after this silence."""
+
+
+@dataclass
+class Peer:
+    """Another entry; ``heard_at`` is when it last sent something."""
+
+    address: LinkAddress
+    heard_at: float
+    version: int = 0
+    from_settings: bool = False
+
+
+class Peers:
+    """The other entries that an entry knows.
+
+    Attributes:
+        agents: Returns the addresses of the agents known.
+        on_farewell: Called with the address of an agent that stops.
+        own: Address of this entry.
+    """
+
+    def __init__(
+        self,
+        own: LinkAddress,
+        mailer: Mailer,
+        timers: Timers,
+        queues: QueuesInForce,
+        log: EventLog,
+    ):
+        self.own = own
+        self.mailer = mailer
+        self.timers = timers
+        self.queues = queues
+        self.log = log
+        self.peers: dict[LinkAddress, Peer] = {}
+        self.agents: Callable[[], list[LinkAddress]] = list
+        self.greeted: set[LinkAddress] = set()
+        self.asked_at = -1e9
+        queues.on_change = self._greet_alive
+
+    async def run(self) -> None:
+        """Greet peers until cancelled."""
+        while True:
+            self._tick()
+            settled = self.agents() and self.queues.version
+            await trio.sleep(GREET_SECONDS if settled else FIRST_ASKS_SECONDS)
+
+    def learn(self, addresses: list[LinkAddress], from_settings: bool = False) -> None:
+        """Add entries that are not known."""
+        for address in addresses:
+            if address == self.own:
+                continue
+            if address not in self.peers:
+                self.log.write("peer.learned", peer=address)
+                self.peers[address] = Peer(address, self.timers.now(), 0, from_settings)
+            self.peers[address].from_settings |= from_settings
+
+    def take(self, sender: LinkAddress, message: Message) -> None:
+        """Act on a message of another process."""
+        match message:
+            case Greeting():
+                self._take_greeting(sender, message)
+            case ConfigWanted(version=version):
+                if version < self.queues.version:
+                    copy = ConfigCopy(self.queues.version, self.queues.content)
+                    self.mailer.post(sender, copy)
+            case ConfigCopy(content=content):
+                self.queues.adopt(content, f"peer {sender}")
+            case Farewell(agent=False):
+                self.peers.pop(sender, None)
+
+    def greet_agents(self, addresses: list[LinkAddress]) -> None:
+        """Make this entry known to agents that it has not greeted."""
+        known = set(self.agents())
+        for address in addresses:
+            if address not in known:
+                self.mailer.post(address, self._greeting(asks=False))
+
+    def say_farewell(self) -> None:
+        """Tell the other entries that this process ends."""
+        for address in [*self.peers, *self.agents()]:
+            self.mailer.post(address, Farewell(agent=False))
+
+    def _take_greeting(self, sender: LinkAddress, greeting: Greeting) -> None:
+        self.learn([LinkAddress(entry) for entry in greeting.entries])
+        self.greet_agents([LinkAddress(agent) for agent in greeting.agents])
+        if not greeting.agent:
+            self.learn([sender])
+            peer = self.peers.get(sender)
+            if peer is not None:
+                peer.heard_at = self.timers.now()
+                peer.version = greeting.config
+        if greeting.config > self.queues.version:
+            self.mailer.post(sender, ConfigWanted(self.queues.version))
+        if greeting.asks:
+            self.mailer.post(sender, self._greeting(asks=False, whole=True))
+
+    def _tick(self) -> None:
+        now = self.timers.now()
+        settled = bool(self.agents()) and bool(self.queues.version)
+        asks = not settled or now - self.asked_at >= ASK_SECONDS
+        if asks:
+            self.asked_at = now
+        for peer in list(self.peers.values()):
+            silent = now - peer.heard_at
+            if silent > FORGET_SECONDS and not peer.from_settings:
+                self.log.write("peer.forgotten", peer=peer.address)
+                del self.peers[peer.address]
+            elif asks or silent < ALIVE_SECONDS:
+                if silent > ALIVE_SECONDS:
+                    # The connection may be dead without a sign.
+                    self.mailer.forget(peer.address)
+                self.mailer.post(peer.address, self._greeting(asks=asks))
+
+    def _greet_alive(self) -> None:
+        for address in self.peers:
+            self.mailer.post(address, self._greeting(asks=False))
+
+    def _greeting(self, asks: bool, whole: bool = False) -> Greeting:
+        entries = list(self.peers) if whole else []
+        agents = self.agents() if whole else []
+        return Greeting(False, entries, agents, self.queues.version, asks)
--- /dev/null
+++ b/bergamotcourse/coordination/jobs/store_watch.py
@@ -0,0 +1,133 @@
+"""What a process reads from the platform's store: the configuration and the entries."""
+
+import random
+
+import trio
+from expression import Result
+
+from bergamotcourse.coordination.event_log import EventLog
+from bergamotcourse.coordination.jobs.queues_in_force import QueuesInForce
+from bergamotcourse.errors import StepError
+from bergamotcourse.ids import LinkAddress
+from bergamotcourse.protocol.job_store import ConfigRead, HistoryGoneError, JobStore
+
+CALL_SECONDS = 1.0
+"""For a call to the store that waits for nothing; 250 times its usual answer."""
+
+WAIT_SECONDS = 0.8
+"""A call for changes waits so long: a connection that died without a sign then costs
+less than half of the time in which a configuration must be in force."""
+
+RETRY_SECONDS = 0.15
+MOST_RETRY_SECONDS = 1.2
+"""Pauses after a call that failed: doubled each time, and spread by half."""
+
+ENTRIES_SECONDS = 5.0
+"""Between two looks for entries that have come; peers tell of them sooner."""
+
+
+class Backoff:
+    """Pauses between calls that fail, and the log of losing and regaining the store."""
+
+    def __init__(self, what: str, rng: random.Random, log: EventLog):
+        self.what = what
+        self.rng = rng
+        self.log = log
+        self.failures = 0
+
+    def succeeded(self) -> None:
+        """Note a call that was answered."""
+        if self.failures:
+            self.log.write("store.regained", call=self.what, failures=self.failures)
+        self.failures = 0
+
+    async def failed(self, error: StepError) -> None:
+        """Note a call that failed, and pause."""
+        if not self.failures:
+            self.log.write("store.lost", call=self.what, error=str(error))
+        pause = min(RETRY_SECONDS * 2**self.failures, MOST_RETRY_SECONDS)
+        self.failures = min(self.failures + 1, 10)
+        await trio.sleep(pause * (0.5 + self.rng.random()))
+
+
+class ConfigFeed:
+    """Follows the configuration in the store."""
+
+    def __init__(
+        self, store: JobStore, queues: QueuesInForce, rng: random.Random, log: EventLog
+    ):
+        self.store = store
+        self.queues = queues
+        self.backoff = Backoff("config", rng, log)
+        self.position: int | None = None
+
+    async def run(self) -> None:
+        """Follow the configuration until cancelled."""
+        while True:
+            await self._take(await self._read())
+
+    async def _read(self) -> Result[ConfigRead, StepError]:
+        if self.position is None:
+            return await self.store.read_config(CALL_SECONDS)
+        timeout = WAIT_SECONDS + CALL_SECONDS
+        return await self.store.config_changes(self.position, WAIT_SECONDS, timeout)
+
+    async def _take(self, result: Result[ConfigRead, StepError]) -> None:
+        match result:
+            case Result(tag="ok", ok=read):
+                self.backoff.succeeded()
+                await self._adopt(read)
+            case Result(error=error):
+                if isinstance(error, HistoryGoneError):
+                    self.position = None
+                await self.backoff.failed(error)
+
+    async def _adopt(self, read: ConfigRead) -> None:
+        if read.content is not None:
+            self.queues.adopt(read.content, "store")
+        if self.queues.table is None:
+            # There is none yet: the feed would tell, but a peer may have one.
+            await trio.sleep(RETRY_SECONDS)
+            return
+        self.position = read.position
+
+
+class EntryRows:
+    """The rows by which entries are found."""
+
+    def __init__(self, store: JobStore, rng: random.Random, log: EventLog):
+        self.store = store
+        self.rng = rng
+        self.log = log
+
+    async def announce(self, address: LinkAddress) -> None:
+        """Make an entry known; repeated until the store has it."""
+        backoff = Backoff("announce", self.rng, self.log)
+        while True:
+            result = await self.store.put_entry(address, CALL_SECONDS)
+            if result.is_ok():
+                backoff.succeeded()
+                return
+            await backoff.failed(result.error)
+
+    async def withdraw(self, address: LinkAddress) -> None:
+        """Remove an entry's row; a row that stays costs others a few messages."""
+        result = await self.store.remove_entry(address, CALL_SECONDS)
+        if result.is_error():
+            self.log.write("store.row_stays", error=str(result.error))
+
+    async def follow(self, learn) -> None:
+        """Tell of the entries in the store, again and again, until cancelled.
+
+        Args:
+            learn: Called with the addresses.
+        """
+        backoff = Backoff("entries", self.rng, self.log)
+        while True:
+            result = await self.store.read_entries(CALL_SECONDS)
+            if result.is_ok():
+                backoff.succeeded()
+                learn(result.ok)
+                await trio.sleep(ENTRIES_SECONDS)
+            else:
+                await backoff.failed(result.error)
--- a/bergamotcourse/coordination/timers.py
+++ b/bergamotcourse/coordination/timers.py
@@ -5,6 +5,7 @@
 """
 
 import random
+import time
 from collections.abc import Awaitable, Callable
 from dataclasses import dataclass
 
@@ -14,6 +15,12 @@
 """Periods are spread by this share, so that processes do not act in step."""
 
 
+def suspended_seconds() -> float:
+    """Return for how long the machine was suspended since it booted."""
+    booted = time.clock_gettime(time.CLOCK_BOOTTIME)
+    return booted - time.clock_gettime(time.CLOCK_MONOTONIC)
+
+
 @dataclass
 class Subscription:
     """One periodic call.
@@ -45,6 +52,14 @@
         """Return seconds on the monotonic clock."""
         return trio.current_time()
 
+    def lease_now(self) -> float:
+        """Return seconds on a clock that counts suspensions of the machine too.
+
+        The monotonic clock stands still while a machine is suspended; a lease measured
+        on it would look valid after it has lapsed for everybody else.
+        """
+        return self.now() + suspended_seconds()
+
     def now_ms(self) -> int:
         """Return milliseconds on the monotonic clock."""
         return int(trio.current_time() * 1000)
--- a/bergamotcourse/daemons/agent.py
+++ b/bergamotcourse/daemons/agent.py
@@ -11,10 +11,10 @@
 from bergamotcourse.coordination.membership import AgentRegistration
 from bergamotcourse.coordination.timers import Timers
 from bergamotcourse.daemons.agent_api import AgentApi
+from bergamotcourse.daemons.log_file import open_log
 from bergamotcourse.daemons.metric_samples import agent_sample, time_agent
 from bergamotcourse.daemons.metrics import MetricsReporter, Timings
 from bergamotcourse.daemons.process import (
-    open_log,
     serve_http,
     wait_until,
     watch_signals,
--- a/bergamotcourse/daemons/entry.py
+++ b/bergamotcourse/daemons/entry.py
@@ -9,11 +9,11 @@
 from bergamotcourse.coordination.timers import Timers
 from bergamotcourse.daemons.admin_api import AdminApi
 from bergamotcourse.daemons.entry_api import EntryApi
+from bergamotcourse.daemons.log_file import open_log
 from bergamotcourse.daemons.metric_samples import entry_sample, time_entry, timed
 from bergamotcourse.daemons.metrics import MetricsReporter, Timings
 from bergamotcourse.daemons.process import (
     POLL_SECONDS,
-    open_log,
     serve_http,
     watch_signals,
 )
--- /dev/null
+++ b/bergamotcourse/daemons/job_agent.py
@@ -0,0 +1,68 @@
+"""The agent of the job dispatcher: one upstream on one side, entries on the other."""
+
+import trio
+
+from bergamotcourse.coordination.jobs.contacts import Contacts
+from bergamotcourse.coordination.jobs.executor import Executor
+from bergamotcourse.coordination.jobs.store_watch import EntryRows
+from bergamotcourse.daemons.job_process import Node, link_address, server
+from bergamotcourse.daemons.process import serve_http, wait_until
+from bergamotcourse.state.node_settings import NodeSettings
+
+STOP_RUNS_SECONDS = 1.2
+"""Kept at the end of the time for a stop: runs that are not done are stopped, so that
+their entries can place them elsewhere."""
+
+LAST_OUTCOMES_SECONDS = 0.5
+"""For the entries to confirm the last outcomes."""
+
+
+class JobAgent:
+    """An agent."""
+
+    def __init__(self, node: Node):
+        self.node = node
+        self.executor = Executor(
+            lambda report: node.platform.orders(report, node.boot),
+            node.timers,
+            node.log,
+        )
+        self.contacts = Contacts(
+            node.settings.name,
+            node.settings.zone,
+            node.boot,
+            self.executor,
+            node.mailer,
+            node.timers,
+            node.log,
+        )
+
+    async def run(self, nursery: trio.Nursery) -> None:
+        """Start all parts."""
+        node = self.node
+        self.contacts.learn(node.seeds())
+        reports = node.platform.reports(self.executor, self.contacts.tell_all)
+        rows = EntryRows(node.store, node.rng, node.log)
+        nursery.start_soon(self.executor.run)
+        nursery.start_soon(self.contacts.run)
+        nursery.start_soon(serve_http, server(node.settings.reports, reports))
+        nursery.start_soon(rows.follow, self.contacts.learn)
+
+    def settings_changed(self, settings: NodeSettings) -> None:
+        """Take changed settings."""
+        self.contacts.learn([link_address(seed) for seed in settings.seeds])
+
+    async def stop(self) -> None:
+        """Finish what runs, or stop it for others to run, then end."""
+        executor = self.executor
+        self.node.log.write("agent.stopping", runs=len(executor.runs))
+        executor.stopping = True
+        executor.return_waiting("the agent is stopping")
+        self.contacts.tell_all()
+        seconds = self.node.settings.stop_seconds - STOP_RUNS_SECONDS
+        if not await wait_until(lambda: not executor.runs, seconds):
+            executor.stop_all("the agent is stopping")
+            await wait_until(lambda: not executor.runs, LAST_OUTCOMES_SECONDS)
+        await wait_until(self.contacts.all_confirmed, LAST_OUTCOMES_SECONDS)
+        if not executor.runs:
+            self.contacts.say_farewell()
--- /dev/null
+++ b/bergamotcourse/daemons/job_entry.py
@@ -0,0 +1,106 @@
+"""The entry of the job dispatcher: callers on one side, agents on the other."""
+
+import trio
+
+from bergamotcourse.coordination.jobs.agent_links import AgentLinks
+from bergamotcourse.coordination.jobs.job_dispatcher import JobDispatcher
+from bergamotcourse.coordination.jobs.peers import Peers
+from bergamotcourse.coordination.jobs.queues_in_force import QueuesInForce
+from bergamotcourse.coordination.jobs.store_watch import ConfigFeed, EntryRows
+from bergamotcourse.daemons.job_process import Node, link_address, server
+from bergamotcourse.daemons.process import serve_http, wait_until
+from bergamotcourse.ids import LinkAddress
+from bergamotcourse.protocol.message import Message
+from bergamotcourse.protocol.task_messages import AgentTurn, Farewell
+from bergamotcourse.state.node_settings import NodeSettings
+
+BALANCER_SECONDS = 2.3
+"""After a stop began callers still come: the balancer asks each second whether this
+entry is ready, and turns away after two misses."""
+
+ANSWER_SECONDS = 0.7
+"""Kept at the end of the time for a stop, for the last answers to leave."""
+
+
+class JobEntry:
+    """An entry.
+
+    Attributes:
+        stopping: A planned stop has begun.
+    """
+
+    def __init__(self, node: Node):
+        self.node = node
+        self.stopping = False
+        self.queues = QueuesInForce(node.platform.decode_queues, node.log)
+        self.links = AgentLinks(
+            node.settings.name, node.boot, node.mailer, node.timers, node.log
+        )
+        self.jobs = JobDispatcher(node.settings.zone, self.links, node.timers, node.log)
+        self.peers = Peers(
+            node.address, node.mailer, node.timers, self.queues, node.log
+        )
+        self.peers.agents = lambda: list(self.links.links)
+        self.callers = node.platform.callers(self.queues, self.jobs, node.log)
+        self.server = server(node.settings.callers, self.callers.handle)
+        self.rows = EntryRows(node.store, node.rng, node.log)
+        node.mailer.handler = self.handle
+
+    async def run(self, nursery: trio.Nursery) -> None:
+        """Start all parts."""
+        node = self.node
+        settings = node.settings
+        self.peers.learn(node.seeds(), from_settings=True)
+        feed = ConfigFeed(node.store, self.queues, node.rng, node.log)
+        nursery.start_soon(self.links.run)
+        nursery.start_soon(self.peers.run)
+        nursery.start_soon(feed.run)
+        nursery.start_soon(self.rows.announce, node.address)
+        nursery.start_soon(self.rows.follow, self.peers.learn)
+        nursery.start_soon(serve_http, self.server)
+        if settings.readiness is not None:
+            ready = server(settings.readiness, node.platform.readiness(self.is_ready))
+            nursery.start_soon(serve_http, ready)
+        if settings.reports is not None:
+            unused = server(settings.reports, node.platform.unused())
+            nursery.start_soon(serve_http, unused)
+
+    def handle(self, sender: LinkAddress, message: Message) -> None:
+        """Act on one message."""
+        match message:
+            case AgentTurn():
+                self.links.take_turn(sender, message)
+            case Farewell(agent=True):
+                self.links.farewell(sender)
+            case _:
+                self.peers.take(sender, message)
+
+    def is_ready(self) -> bool:
+        """Return whether this entry wants callers."""
+        return (
+            not self.stopping
+            and self.queues.table is not None
+            and bool(self.links.usable())
+        )
+
+    def settings_changed(self, settings: NodeSettings) -> None:
+        """Take changed settings."""
+        seeds = [link_address(seed) for seed in settings.seeds]
+        self.peers.learn(seeds, from_settings=True)
+
+    async def stop(self) -> None:
+        """Serve what was taken, and what still comes, then end."""
+        seconds = self.node.settings.stop_seconds - ANSWER_SECONDS
+        begun = trio.current_time()
+        self.stopping = True
+        self.node.log.write("entry.stopping", jobs=len(self.jobs.jobs))
+        await trio.sleep(BALANCER_SECONDS)
+        self.callers.refusing = "this entry is stopping"
+        self.server.begin_stop()
+        left = begun + seconds - trio.current_time()
+        if not await wait_until(lambda: not self.jobs.jobs, left):
+            self.jobs.give_up_all("this entry is stopping")
+        with trio.move_on_after(ANSWER_SECONDS / 2):
+            await self.server.wait_stopped()
+        self.peers.say_farewell()
+        await self.rows.withdraw(self.node.address)
--- a/bergamotcourse/daemons/process.py
+++ b/bergamotcourse/daemons/process.py
@@ -1,10 +1,8 @@
-"""What every daemon does: logs, listeners, signals, and a graceful stop."""
+"""What every daemon does: listeners, signals, and a graceful stop."""
 
 import signal
-import sys
 from collections.abc import Awaitable, Callable
 
-import eliot
 import trio
 
 from bergamotcourse.errors import BergamotcourseError, Step, StepError
@@ -14,12 +12,6 @@
 POLL_SECONDS = 0.05
 
 
-def open_log(path: str) -> None:
-    """Send eliot's log lines to a file, or to standard error for ``-``."""
-    target = sys.stderr if path == "-" else open(path, "a", buffering=1)  # noqa: SIM115
-    eliot.to_file(target)
-
-
 async def serve_http(server: HttpServer) -> None:
     """Serve HTTP until cancelled or stopped.
 
--- /dev/null
+++ b/bergamotcourse/platform/documents.py
@@ -0,0 +1,184 @@
+"""The platform's documents, decoded once into the product's types."""
+
+import msgspec
+
+from bergamotcourse.ids import ConfigVersion, ServiceName, UpstreamId, ZoneName
+from bergamotcourse.protocol.upstream_orders import UpstreamReport
+from bergamotcourse.state.job_spec import (
+    JobId,
+    JobQueue,
+    JobSpec,
+    QueueTable,
+    StepSpec,
+)
+from bergamotcourse.state.resources import Resources
+
+MOST_TASKS = 10_000
+"""Tasks of one job; more are refused as malformed."""
+
+
+class WireRoute(msgspec.Struct):
+    """A route, which is a queue of jobs."""
+
+    name: str
+    host: str
+    path_prefix: str
+    service: str
+    priority: int = 0
+    max_attempts: int = 1
+    slack_factor: float = 1.0
+    target_latency_ms: float = 0.0
+
+
+class WireConfig(msgspec.Struct):
+    """The desired state, as far as it is used."""
+
+    version: int
+    routes: list[WireRoute]
+
+
+class WireStep(msgspec.Struct):
+    """A step of a job; what is false, 0 or empty is left out."""
+
+    count: int = 1
+    cpu: int = 0
+    mem_mb: int = 0
+    gpu: int = 0
+    estimated_ms: float = 0.0
+    after: list[int] = []
+    required_label: str = ""
+    gang: bool = False
+    long_running: bool = False
+    anti_affinity: int = 0
+    fills: bool = False
+    may_miss: int = 0
+    target_ms: float = 0.0
+
+
+class WireJob(msgspec.Struct):
+    """A job as a client submits it."""
+
+    spec: str
+    steps: list[WireStep]
+    best_effort: bool = False
+    long_running: bool = False
+    repeat_count: int = 0
+
+
+class WireCapacity(msgspec.Struct, frozen=True):
+    """What a worker has."""
+
+    cpu: int = 0
+    mem_mb: int = 0
+    gpu: int = 0
+
+
+class WireHeartbeat(msgspec.Struct):
+    """A worker's report of itself."""
+
+    service: str
+    address: str
+    zone: str
+    state: str
+    sequence: int
+    capacity: WireCapacity = WireCapacity()
+    labels: list[str] = []
+    clock_ms: int = 0
+
+
+_config = msgspec.json.Decoder(WireConfig)
+_job = msgspec.json.Decoder(WireJob)
+_heartbeat = msgspec.json.Decoder(WireHeartbeat)
+
+
+def decode_queues(content: bytes) -> QueueTable:
+    """Return the queues of a configuration.
+
+    Raises:
+        ValueError: It is malformed.
+    """
+    config = _config.decode(content)
+    queues = tuple(
+        JobQueue(
+            name=route.name,
+            host=route.host,
+            path_prefix=route.path_prefix,
+            service=ServiceName(route.service),
+            priority=route.priority,
+            max_attempts=max(1, route.max_attempts),
+            slack_factor=route.slack_factor,
+            target_latency=route.target_latency_ms / 1000,
+        )
+        for route in config.routes
+    )
+    return QueueTable(ConfigVersion(config.version), queues)
+
+
+def decode_job(job_id: str, body: bytes) -> JobSpec:
+    """Return the job in a request's body.
+
+    Raises:
+        ValueError: It is malformed.
+    """
+    job = _job.decode(body)
+    if not job.steps:
+        raise ValueError("the job has no steps")
+    if sum(step.count for step in job.steps) > MOST_TASKS:
+        raise ValueError(f"more than {MOST_TASKS} tasks")
+    steps = tuple(decode_step(index, step) for index, step in enumerate(job.steps))
+    return JobSpec(
+        JobId(job_id), job.spec, steps, not job.best_effort, unsupported(job)
+    )
+
+
+def decode_step(index: int, step: WireStep) -> StepSpec:
+    """Return one step of a job.
+
+    Raises:
+        ValueError: A number is out of range.
+    """
+    if step.count < 1 or min(step.cpu, step.mem_mb, step.gpu) < 0:
+        raise ValueError(f"step {index} has a number out of range")
+    if any(not 0 <= earlier < index for earlier in step.after):
+        raise ValueError(f"step {index} waits for a step that is not before it")
+    return StepSpec(
+        count=step.count,
+        needs=Resources(step.cpu, step.mem_mb, step.gpu),
+        estimate=max(0.0, step.estimated_ms / 1000),
+        after=tuple(step.after),
+        label=step.required_label,
+    )
+
+
+def unsupported(job: WireJob) -> tuple[str, ...]:
+    """Return the names of properties that the dispatcher cannot honour."""
+    names = []
+    if job.long_running or any(step.long_running for step in job.steps):
+        names.append("long_running")
+    if job.repeat_count:
+        names.append("repeat_count")
+    for name in ("gang", "anti_affinity", "fills"):
+        if any(getattr(step, name) for step in job.steps):
+            names.append(name)
+    return tuple(names)
+
+
+def decode_report(upstream: str, body: bytes) -> UpstreamReport:
+    """Return a worker's report of itself.
+
+    Raises:
+        ValueError: It is malformed.
+    """
+    beat = _heartbeat.decode(body)
+    capacity = beat.capacity
+    return UpstreamReport(
+        id=UpstreamId(upstream),
+        service=ServiceName(beat.service),
+        address=beat.address,
+        zone=ZoneName(beat.zone),
+        capacity=Resources(capacity.cpu, capacity.mem_mb, capacity.gpu),
+        labels=tuple(beat.labels),
+        draining=beat.state != "ready",
+        sequence=beat.sequence,
+        clock=beat.clock_ms / 1000,
+    )
--- /dev/null
+++ b/bergamotcourse/protocol/job_store.py
@@ -0,0 +1,56 @@
+"""What the job dispatcher keeps in the platform's store, and reads there."""
+
+from dataclasses import dataclass
+from typing import Protocol
+
+from expression import Result
+
+from bergamotcourse.errors import StepError
+from bergamotcourse.ids import LinkAddress
+
+
+@dataclass(frozen=True)
+class ConfigRead:
+    """The configuration as the store holds it.
+
+    Attributes:
+        position: Up to where the store's changes are covered.
+        content: ``None`` where there is none, or it has not changed.
+    """
+
+    position: int
+    content: bytes | None
+
+
+class HistoryGoneError(StepError):
+    """The store has forgotten what changed: the configuration is to be read anew."""
+
+
+class JobStore(Protocol):
+    """The store's calls; each has a timeout in seconds, and none is repeated."""
+
+    async def read_config(self, timeout: float) -> Result[ConfigRead, StepError]:
+        """Return the configuration."""
+
+    async def config_changes(
+        self, after: int, wait: float, timeout: float
+    ) -> Result[ConfigRead, StepError]:
+        """Return the configuration if it changes within ``wait`` seconds."""
+
+    async def put_entry(
+        self, address: LinkAddress, timeout: float
+    ) -> Result[None, StepError]:
+        """Make an entry known."""
+
+    async def remove_entry(
+        self, address: LinkAddress, timeout: float
+    ) -> Result[None, StepError]:
+        """Withdraw an entry."""
+
+    async def read_entries(
+        self, timeout: float
+    ) -> Result[list[LinkAddress], StepError]:
+        """Return the entries that have made themselves known."""
+
+    async def aclose(self) -> None:
+        """Close the connections."""
--- a/bergamotcourse/protocol/messages.py
+++ b/bergamotcourse/protocol/messages.py
@@ -12,15 +12,20 @@
 from expression import Error, Ok, Result
 
 from bergamotcourse.errors import Step, StepError
+from bergamotcourse.protocol.message import Message
 from bergamotcourse.protocol.outcome import Outcome
+from bergamotcourse.protocol.task_messages import (
+    AgentTurn,
+    ConfigCopy,
+    ConfigWanted,
+    EntryTurn,
+    Farewell,
+    Greeting,
+)
 
 SCHEMA_VERSION = 1
 
 
-class Message(msgspec.Struct, frozen=True, array_like=True, tag=True):
-    """Base of all messages."""
-
-
 class Header(NamedTuple):
     """One HTTP field."""
 
@@ -541,6 +546,12 @@
     | ConfigHave
     | AgentLoad
     | CloseUpstreams
+    | AgentTurn
+    | EntryTurn
+    | Greeting
+    | ConfigWanted
+    | ConfigCopy
+    | Farewell
 )
 
 
--- /dev/null
+++ b/bergamotcourse/protocol/task_messages.py
@@ -0,0 +1,170 @@
+"""The messages by which entries place tasks at agents.
+
+Each side sends the other a stream of numbered items. A message carries those items
+that the other side has not confirmed, and confirms what it has received, so items
+that a broken connection lost are sent again and none is taken twice.
+"""
+
+from enum import Enum
+
+from bergamotcourse.protocol.message import Message
+from bergamotcourse.protocol.upstream_orders import RunKey
+from bergamotcourse.state.resources import Resources
+
+
+class Item(Message, frozen=True):
+    """Base of the items of a stream."""
+
+
+class PlaceTask(Item, frozen=True):
+    """Start a task, or queue it until there is room.
+
+    Attributes:
+        request: The id of the job, for the log.
+        rank: Milliseconds that the task can still wait; the least goes first.
+        estimate: Seconds of work on an upstream of speed 1.
+        patience: Milliseconds after which a task that did not start is returned.
+    """
+
+    key: RunKey
+    request: str
+    payload: str
+    needs: Resources
+    rank: int
+    estimate: float
+    patience: int
+
+
+class WithdrawTask(Item, frozen=True):
+    """End a run, or bar it; its end is reported in each case."""
+
+    key: RunKey
+
+
+class Outcome(Enum):
+    """What became of a placed run; only ``DONE`` and ``FAILED`` ran to their end."""
+
+    DONE = "done"
+    FAILED = "failed"
+    STOPPED = "stopped"
+    LOST = "lost"
+    """It lapsed, or went with its upstream."""
+    RETURNED = "returned"
+    """It never started and never will."""
+    STALE = "stale"
+    """It never started: the upstream knows a run of that number or a later one."""
+
+
+class TaskEnded(Item, frozen=True):
+    """The final outcome of a placed run.
+
+    Attributes:
+        ran: Seconds from its start to its end, 0 if it never started.
+    """
+
+    key: RunKey
+    outcome: Outcome
+    ran: float = 0.0
+    detail: str = ""
+
+
+class AgentRoom(Message, frozen=True):
+    """The load of an agent.
+
+    Attributes:
+        service: Empty while no upstream has announced itself.
+        capacity: Of the upstream; nothing while it takes no tasks.
+        committed: Needs of all that runs or waits at the agent.
+        yours: The part of ``committed`` that the receiver has placed.
+        slowness: How many times longer than declared its tasks take.
+        failing: The upstream fails what it starts: it gets trials only.
+    """
+
+    service: str
+    labels: tuple[str, ...]
+    capacity: Resources
+    committed: Resources
+    yours: Resources
+    slowness: float
+    failing: bool
+
+
+class AgentTurn(Message, frozen=True):
+    """An agent's message to an entry; also its heartbeat.
+
+    Attributes:
+        boot: Rises with each process of the agent.
+        session: Rises each time the agent gives up the runs of this entry.
+        sent_ms: On the agent's clock; echoed by the entry.
+        seen: The last item received of the entry's stream.
+        first: Number of the first of ``items``.
+    """
+
+    agent: str
+    zone: str
+    boot: int
+    session: int
+    sent_ms: int
+    seen: int
+    first: int
+    items: list[TaskEnded]
+    room: AgentRoom
+
+
+class EntryTurn(Message, frozen=True):
+    """An entry's message to an agent, in answer to the agent's.
+
+    Attributes:
+        entry_boot: Drawn by each process of the entry.
+        boot: Of the agent, as last heard.
+        session: Of the agent, as last heard.
+        echo_ms: ``sent_ms`` of the agent's last message.
+        seen: The last item received of the agent's stream.
+        first: Number of the first of ``items``.
+        waiting: The entry has tasks that find no room: tell it of any.
+    """
+
+    entry: str
+    entry_boot: int
+    boot: int
+    session: int
+    echo_ms: int
+    seen: int
+    first: int
+    items: list[PlaceTask | WithdrawTask]
+    waiting: bool
+
+
+class Greeting(Message, frozen=True):
+    """A process makes itself known, and asks for the others that are known.
+
+    Attributes:
+        agent: The sender is an agent, else an entry.
+        config: The version of the configuration in force at an entry.
+        asks: The receiver is to answer with a greeting of its own.
+    """
+
+    agent: bool
+    entries: list[str]
+    agents: list[str]
+    config: int
+    asks: bool
+
+
+class ConfigWanted(Message, frozen=True):
+    """An entry asks another for a configuration newer than its own."""
+
+    version: int
+
+
+class ConfigCopy(Message, frozen=True):
+    """The configuration in force at the sender, as the platform's store holds it."""
+
+    version: int
+    content: bytes
+
+
+class Farewell(Message, frozen=True):
+    """The sender stops for good; nothing of it runs any more."""
+
+    agent: bool
--- /dev/null
+++ b/bergamotcourse/state/node_settings.py
@@ -0,0 +1,43 @@
+"""What a process is told of its place: addresses, zone, and where the others may be."""
+
+from dataclasses import dataclass
+
+from bergamotcourse.ids import ZoneName
+
+
+@dataclass(frozen=True)
+class Endpoint:
+    """An IP number and a port."""
+
+    host: str
+    port: int
+
+    def __str__(self) -> str:
+        """Return it as ``IP:PORT``."""
+        return f"{self.host}:{self.port}"
+
+
+@dataclass(frozen=True)
+class NodeSettings:
+    """The place of one process.
+
+    Attributes:
+        name: Of the instance it runs on.
+        link: Where it receives the messages of other processes.
+        callers: Where an entry takes callers' requests; ``None`` at an agent.
+        readiness: Where an entry tells whether it wants callers.
+        reports: Where an agent takes its upstream's reports.
+        seeds: Links of entries that may be up.
+        store: The platform's store.
+        stop_seconds: From the signal to stop until the process is killed.
+    """
+
+    name: str
+    zone: ZoneName
+    link: Endpoint
+    callers: Endpoint | None
+    readiness: Endpoint | None
+    reports: Endpoint | None
+    seeds: tuple[Endpoint, ...]
+    store: Endpoint
+    stop_seconds: float
--- a/bergamotcourse/tests/virtual/test_policy.py
+++ b/bergamotcourse/tests/virtual/test_policy.py
@@ -1,13 +1,21 @@
 """The policy under load and faults, with entries and agents as they are."""
 
+from dataclasses import replace
+
 import trio
 
 from bergamotcourse.coordination.submissions import Completed, Refused
 from bergamotcourse.protocol.outcome import Outcome
 from bergamotcourse.state.manifest import Manifest, Policy, Service, Team, UpstreamRule
 from bergamotcourse.state.submission import Kind, Submission, TaskRequest
+from bergamotcourse.transport.http import HttpRequest
 from bergamotcourse.virtual.clock import run_virtual
-from bergamotcourse.virtual.fleet import SERVICE, FleetShape, VirtualFleet
+from bergamotcourse.virtual.fleet import (
+    SERVICE,
+    FleetShape,
+    VirtualFleet,
+    default_manifest,
+)
 
 SHAPE = FleetShape(entries=3, agents=6, slots=4)
 
@@ -181,6 +189,36 @@
         limits = {"quota_starts_per_second": 30.0}
         run_fleet(main, manifest=make_manifest(**limits))
 
+    def test_a_keyed_request_that_was_refused_runs_once_when_it_comes_back(self):
+        async def main(fleet):
+            refused, answered = [], []
+
+            async def insist(number):
+                headers = [("idempotency-key", f"key-{number}")]
+                while True:
+                    request = HttpRequest("POST", "/s/voting/cast", list(headers))
+                    request.body = f"ballot-{number}".encode()
+                    answer = await fleet.call(f"entry-{number % 3 + 1}", request)
+                    if answer.status == 200:
+                        answered.append(number)
+                        return
+                    assert dict(answer.headers)["bergamotcourse-outcome"] == "not_run"
+                    wait = int(dict(answer.headers)["retry-after"])
+                    refused.append(wait)
+                    await trio.sleep(wait)
+
+            async with trio.open_nursery() as nursery:
+                for number in range(12):
+                    nursery.start_soon(insist, number)
+            assert refused
+            assert sorted(answered) == list(range(12))
+            assert fleet.starts() == {f"ballot-{n}": 1 for n in range(12)}
+
+        manifest = default_manifest()
+        [team] = manifest.teams
+        limited = replace(team, quota_starts_per_second=3.0)
+        run_fleet(main, manifest=replace(manifest, teams=[limited]))
+
 
 class TestOverload:
     def test_refused_requests_did_not_run_and_the_rest_is_served_soon(self):
--- a/bergamotcourse/virtual/pause.py
+++ b/bergamotcourse/virtual/pause.py
@@ -47,6 +47,8 @@
         """Return once the process is not frozen."""
         while self.frozen:
             await self.thawed.park()
+        # One that was killed while frozen goes no further.
+        await trio.lowlevel.checkpoint_if_cancelled()
 
 
 class VirtualTimers(Timers):
@@ -69,6 +71,10 @@
         """Return seconds on this process's clock."""
         return self.offset + self.rate * trio.current_time()
 
+    def lease_now(self) -> float:
+        """Return seconds on this process's clock, which runs on while frozen."""
+        return self.now()
+
     def now_ms(self) -> int:
         """Return milliseconds on this process's clock."""
         return int(self.now() * 1000)
