Recall the upstream and the agents from the store after a restart

Cause: an agent's new process knew its upstream only by the next report, up to 1.5 s later, and refused entries counted as having no upstream: 51 refused in 2 s after a loss of all processes.

--- a/bergamotcourse/coordination/jobs/contacts.py
+++ b/bergamotcourse/coordination/jobs/contacts.py
@@ -34,8 +34,9 @@
 )
 from bergamotcourse.state.resources import NOTHING
 
-ABSENT_HEARTBEAT_SECONDS = 1.0
-"""Between the messages to an entry that does not answer."""
+ABSENT_HEARTBEAT_SECONDS = 0.5
+"""Between the messages to an entry that does not answer, each on a new connection: one
+to a machine without power would be tried again only after seconds."""
 
 FORGET_SECONDS = 30.0
 """An entry that has not answered for so long is forgotten; a new one makes itself
--- a/bergamotcourse/coordination/jobs/executor.py
+++ b/bergamotcourse/coordination/jobs/executor.py
@@ -5,6 +5,7 @@
 """
 
 from collections.abc import Callable
+from dataclasses import replace
 
 import trio
 
@@ -123,6 +124,16 @@
         self._begin_life(report)
         return True
 
+    async def recall(self, report: UpstreamReport) -> None:
+        """Take up an upstream by a former report, if that life still answers."""
+        port = self.connect(report)
+        answer = await port.hold(0, None, 0.0, HOLD_TIMEOUT_SECONDS)
+        await port.aclose()
+        if self.life is not None or not isinstance(answer, Holding):
+            return
+        self.log.write("upstream.recalled", upstream=report.id)
+        self._begin_life(replace(report, clock=answer.clock, sequence=0))
+
     def upstream_left(self, upstream: str) -> None:
         """Take the planned end of an upstream."""
         if self.life is not None and self.life.report.id == upstream:
--- a/bergamotcourse/coordination/jobs/job_dispatcher.py
+++ b/bergamotcourse/coordination/jobs/job_dispatcher.py
@@ -7,7 +7,7 @@
 
 from bergamotcourse.coordination.event_log import EventLog
 from bergamotcourse.coordination.jobs.agent_links import AgentLink, AgentLinks
-from bergamotcourse.coordination.jobs.job_order import order_key, wait_refusal
+from bergamotcourse.coordination.jobs.job_order import order_key, refusal_at_once
 from bergamotcourse.coordination.jobs.job_run import (
     JobOutcome,
     JobRun,
@@ -54,6 +54,7 @@
         self.waiting: list[JobRun] = []
         self.outcomes: Counter[JobOutcome] = Counter()
         self.was_waiting = False
+        self.began = timers.now()
         links.on_end = self.take_end
         links.on_room = self.pump
         links.is_waiting = self.is_waiting
@@ -161,7 +162,8 @@
             objective_ms=round(job.objective * 1000),
             waits_ms=round(seconds * 1000),
         )
-        refusal = wait_refusal(job, self.waiting, self.links.usable())
+        age = job.arrived - self.began
+        refusal = refusal_at_once(job, self.links.usable(), age)
         if refusal is not None:
             job.retry_after = refusal.retry_after
             job.finish(JobOutcome.REFUSED, refusal.why)
--- a/bergamotcourse/coordination/jobs/job_order.py
+++ b/bergamotcourse/coordination/jobs/job_order.py
@@ -10,6 +10,10 @@
 from bergamotcourse.coordination.jobs.agent_links import AgentLink
 from bergamotcourse.coordination.jobs.job_run import JobRun
 
+LEARNING_SECONDS = 4.0
+"""An entry that began no longer ago may learn of upstreams any moment: after a loss of
+all processes they come back within two seconds."""
+
 RETRY_SECONDS = 1.0
 """Callers may come back after this; the shortest that the header can say."""
 
@@ -28,12 +32,19 @@
     return (is_late and not job.may_have_run, job.start_by)
 
 
-def wait_refusal(
-    job: JobRun, waiting: list[JobRun], links: list[AgentLink]
-) -> Refusal | None:
-    """Return why a job that has just come is refused, or ``None``."""
+def refusal_at_once(job: JobRun, links: list[AgentLink], age: float) -> Refusal | None:
+    """Return why a job that has just come is refused, or ``None``.
+
+    Args:
+        job: The job.
+        links: The agents that may get tasks.
+        age: Seconds since this entry began.
+    """
     serving = [link for link in links if link.room.service == job.queue.service]
-    if not any(link.room.capacity.cpu for link in serving):
+    serving = [link for link in serving if link.room.capacity.cpu]
+    if not serving and age < LEARNING_SECONDS:
+        return None
+    if not serving:
         return Refusal("no upstream of the service is known", RETRY_SECONDS)
     if not all(can_ever_run(job, step, serving) for step in job.spec.steps):
         return Refusal("no upstream is large enough", RETRY_SECONDS)
--- a/bergamotcourse/coordination/jobs/store_watch.py
+++ b/bergamotcourse/coordination/jobs/store_watch.py
@@ -10,6 +10,7 @@
 from bergamotcourse.errors import StepError
 from bergamotcourse.ids import LinkAddress
 from bergamotcourse.protocol.job_store import ConfigRead, HistoryGoneError, JobStore
+from bergamotcourse.protocol.upstream_orders import UpstreamReport
 
 CALL_SECONDS = 1.0
 """For a call to the store that waits for nothing; 250 times its usual answer."""
@@ -131,3 +132,37 @@
                 await trio.sleep(ENTRIES_SECONDS)
             else:
                 await backoff.failed(result.error)
+
+
+class UpstreamRows:
+    """The last report of each upstream, kept for the next processes.
+
+    An agent that starts anew would know its upstream only by the next report, more than
+    a second later; an entry that starts anew finds all agents here at once.
+    """
+
+    def __init__(self, store: JobStore, rng: random.Random, log: EventLog):
+        self.store = store
+        self.rng = rng
+        self.log = log
+        self.kept = ""
+
+    async def keep(self, agent: LinkAddress, report: UpstreamReport) -> None:
+        """Keep the report of a new life of an upstream; tried once.
+
+        Without it the next process learns the same a little later.
+        """
+        if report.id == self.kept:
+            return
+        self.kept = report.id
+        result = await self.store.put_upstream(agent, report, CALL_SECONDS)
+        if result.is_error():
+            self.log.write("store.upstream_not_kept", error=str(result.error))
+
+    async def read(self) -> dict[LinkAddress, UpstreamReport]:
+        """Return the reports by agent; nothing if the store does not answer."""
+        result = await self.store.read_upstreams(CALL_SECONDS)
+        if result.is_ok():
+            return result.ok
+        self.log.write("store.upstreams_not_read", error=str(result.error))
+        return {}
--- a/bergamotcourse/daemons/job_agent.py
+++ b/bergamotcourse/daemons/job_agent.py
@@ -4,7 +4,7 @@
 
 from bergamotcourse.coordination.jobs.contacts import Contacts
 from bergamotcourse.coordination.jobs.executor import Executor
-from bergamotcourse.coordination.jobs.store_watch import EntryRows
+from bergamotcourse.coordination.jobs.store_watch import EntryRows, UpstreamRows
 from bergamotcourse.daemons.job_process import Node, link_address, server
 from bergamotcourse.daemons.process import serve_http, wait_until
 from bergamotcourse.state.node_settings import NodeSettings
@@ -27,6 +27,8 @@
             node.timers,
             node.log,
         )
+        self.upstreams = UpstreamRows(node.store, node.rng, node.log)
+        self.nursery: trio.Nursery | None = None
         self.contacts = Contacts(
             node.settings.name,
             node.settings.zone,
@@ -41,13 +43,30 @@
         """Start all parts."""
         node = self.node
         self.contacts.learn(node.seeds())
-        reports = node.platform.reports(self.executor, self.contacts.tell_all)
+        self.nursery = nursery
+        reports = node.platform.reports(self.executor, self._upstream_changed)
         rows = EntryRows(node.store, node.rng, node.log)
+        nursery.start_soon(self._recall_upstream)
         await nursery.start(self.executor.run)
         nursery.start_soon(self.contacts.run)
         nursery.start_soon(serve_http, server(node.settings.reports, reports))
         nursery.start_soon(rows.follow, self.contacts.learn)
 
+    async def _recall_upstream(self) -> None:
+        """Take up the upstream that the process before this one has known."""
+        reports = await self.upstreams.read()
+        report = reports.get(self.node.address)
+        if report is not None and self.executor.life is None:
+            self.upstreams.kept = report.id
+            await self.executor.recall(report)
+            self.contacts.tell_all()
+
+    def _upstream_changed(self) -> None:
+        self.contacts.tell_all()
+        life = self.executor.life
+        if life is not None:
+            self.nursery.start_soon(self.upstreams.keep, self.node.address, life.report)
+
     def settings_changed(self, settings: NodeSettings) -> None:
         """Take changed settings."""
         self.contacts.learn([link_address(seed) for seed in settings.seeds])
--- a/bergamotcourse/daemons/job_entry.py
+++ b/bergamotcourse/daemons/job_entry.py
@@ -6,7 +6,11 @@
 from bergamotcourse.coordination.jobs.job_dispatcher import JobDispatcher
 from bergamotcourse.coordination.jobs.peers import Peers
 from bergamotcourse.coordination.jobs.queues_in_force import QueuesInForce
-from bergamotcourse.coordination.jobs.store_watch import ConfigFeed, EntryRows
+from bergamotcourse.coordination.jobs.store_watch import (
+    ConfigFeed,
+    EntryRows,
+    UpstreamRows,
+)
 from bergamotcourse.daemons.job_process import Node, link_address, server
 from bergamotcourse.daemons.process import serve_http, wait_until
 from bergamotcourse.ids import LinkAddress
@@ -56,6 +60,7 @@
         nursery.start_soon(self.peers.run)
         nursery.start_soon(feed.run)
         nursery.start_soon(self.rows.announce, node.address)
+        nursery.start_soon(self._greet_agents)
         nursery.start_soon(self.rows.follow, self.peers.learn)
         nursery.start_soon(serve_http, self.server)
         if settings.readiness is not None:
@@ -65,6 +70,11 @@
             unused = server(settings.reports, node.platform.unused())
             nursery.start_soon(serve_http, unused)
 
+    async def _greet_agents(self) -> None:
+        """Make this entry known to the agents that the store tells of."""
+        upstreams = UpstreamRows(self.node.store, self.node.rng, self.node.log)
+        self.peers.greet_agents(list(await upstreams.read()))
+
     def handle(self, sender: LinkAddress, message: Message) -> None:
         """Act on one message."""
         match message:
--- a/bergamotcourse/daemons/job_process.py
+++ b/bergamotcourse/daemons/job_process.py
@@ -23,6 +23,9 @@
 SETTINGS_SECONDS = 2.0
 """Between looks at settings that change without a signal."""
 
+RECONNECT_MS = 100
+"""A process is back within a second or two: its peers find it a tenth of one later."""
+
 LAST_MESSAGES_SECONDS = 0.2
 """For the link to hand over what was posted last."""
 
@@ -61,7 +64,8 @@
         self.json_log = JsonLog(self.settings.name)
         self.log = EventLog(self.json_log.sink)
         where = self.settings.link
-        self.mailer = Mailer(NngLink(where.host, where.port), rng=self.rng)
+        link = NngLink(where.host, where.port, reconnect_ms=RECONNECT_MS)
+        self.mailer = Mailer(link, rng=self.rng)
         self.address = link_address(where)
         self.store = platform.store(self.settings)
 
--- a/bergamotcourse/platform/store.py
+++ b/bergamotcourse/platform/store.py
@@ -9,6 +9,7 @@
 from bergamotcourse.errors import Step, StepError
 from bergamotcourse.ids import LinkAddress
 from bergamotcourse.protocol.job_store import ConfigRead, HistoryGoneError
+from bergamotcourse.protocol.upstream_orders import UpstreamReport
 from bergamotcourse.state.node_settings import Endpoint
 from bergamotcourse.transport.http import HttpRequest
 from bergamotcourse.transport.http_client import HttpClient
@@ -16,6 +17,7 @@
 OPERATOR_TABLE = "op"
 CONFIG_KEY = "config"
 ENTRY_TABLE = "entries"
+UPSTREAM_TABLE = "upstreams"
 HISTORY_GONE_STATUS = 410
 
 JSON = ("content-type", "application/json")
@@ -38,6 +40,7 @@
     has_more: bool = False
 
 
+_report = msgspec.msgpack.Decoder(UpstreamReport)
 _rows = msgspec.json.Decoder(WireRows)
 
 
@@ -65,8 +68,7 @@
         self, address: LinkAddress, timeout: float
     ) -> Result[None, StepError]:
         """Make an entry known."""
-        row = {"table": ENTRY_TABLE, "part": "", "key": address}
-        return await self._transact({"put": [{**row, "value": ""}]}, timeout)
+        return await self._put(ENTRY_TABLE, address, b"", timeout)
 
     async def remove_entry(
         self, address: LinkAddress, timeout: float
@@ -82,10 +84,31 @@
         rows = await self._read(ENTRY_TABLE, timeout)
         return rows.map(lambda read: [LinkAddress(row.key) for row in read.rows])
 
+    async def put_upstream(
+        self, agent: LinkAddress, report: UpstreamReport, timeout: float
+    ) -> Result[None, StepError]:
+        """Keep the report of an upstream for the next process of its agent."""
+        value = msgspec.msgpack.encode(report)
+        return await self._put(UPSTREAM_TABLE, agent, value, timeout)
+
+    async def read_upstreams(
+        self, timeout: float
+    ) -> Result[dict[LinkAddress, UpstreamReport], StepError]:
+        """Return the upstreams by agent, as last reported."""
+        rows = await self._read(UPSTREAM_TABLE, timeout)
+        return rows.map(upstreams_in)
+
     async def aclose(self) -> None:
         """Close the connections."""
         await self.client.aclose()
 
+    async def _put(
+        self, table: str, key: str, value: bytes, timeout: float
+    ) -> Result[None, StepError]:
+        row = {"table": table, "part": "", "key": key}
+        row["value"] = base64.b64encode(value).decode()
+        return await self._transact({"put": [row]}, timeout)
+
     async def _read(self, table: str, timeout: float) -> Result[WireRows, StepError]:
         query = urlencode({"table": table, "part": ""})
         return await self._get(f"/bergamotcourse/rows-get?{query}", timeout)
@@ -126,3 +149,16 @@
         if row.key == CONFIG_KEY and not row.deleted:
             return ConfigRead(read.ver, base64.b64decode(row.value))
     return ConfigRead(read.ver, None)
+
+
+def upstreams_in(read: WireRows) -> dict[LinkAddress, UpstreamReport]:
+    """Return the reports in the rows; one that cannot be read is passed over."""
+    reports = {}
+    for row in read.rows:
+        try:
+            value = base64.b64decode(row.value)
+            reports[LinkAddress(row.key)] = _report.decode(value)
+        except (ValueError, msgspec.MsgspecError):
+            # Written by another version: the upstream's own report comes within 2 s.
+            continue
+    return reports
--- a/bergamotcourse/protocol/job_store.py
+++ b/bergamotcourse/protocol/job_store.py
@@ -7,6 +7,7 @@
 
 from bergamotcourse.errors import StepError
 from bergamotcourse.ids import LinkAddress
+from bergamotcourse.protocol.upstream_orders import UpstreamReport
 
 
 @dataclass(frozen=True)
@@ -52,5 +53,15 @@
     ) -> Result[list[LinkAddress], StepError]:
         """Return the entries that have made themselves known."""
 
+    async def put_upstream(
+        self, agent: LinkAddress, report: UpstreamReport, timeout: float
+    ) -> Result[None, StepError]:
+        """Keep the report of an upstream for the next process of its agent."""
+
+    async def read_upstreams(
+        self, timeout: float
+    ) -> Result[dict[LinkAddress, UpstreamReport], StepError]:
+        """Return the upstreams by agent, as last reported."""
+
     async def aclose(self) -> None:
         """Close the connections."""
--- a/bergamotcourse/transport/nng_link.py
+++ b/bergamotcourse/transport/nng_link.py
@@ -98,15 +98,22 @@
         buffer: Payloads held for each peer beside those in the kernel's buffers.
         message_bytes: Larger payloads are refused by the sender, and by the
             receiver, which closes the connection they come on.
+        reconnect_ms: Longest pause before a peer that is away is tried again.
     """
 
     def __init__(
-        self, host: str, port: int, buffer: int = 64, message_bytes: int = 8 << 20
+        self,
+        host: str,
+        port: int,
+        buffer: int = 64,
+        message_bytes: int = 8 << 20,
+        reconnect_ms: int = RECONNECT_MAX_MS,
     ):
         self.host = host
         self.address = LinkAddress(f"{SCHEME}{host}:{port}")
         self.buffer = buffer
         self.message_bytes = message_bytes
+        self.reconnect_ms = reconnect_ms
         self.peers: dict[LinkAddress, Peer] = {}
         self.socket: pynng.Pull0 | None = None
         self.receive_fd = -1
@@ -202,7 +209,7 @@
         socket = pynng.Push0(
             send_buffer_size=self.buffer,
             reconnect_time_min=RECONNECT_MIN_MS,
-            reconnect_time_max=RECONNECT_MAX_MS,
+            reconnect_time_max=self.reconnect_ms,
         )
         try:
             socket.dial(peer, block=False)
