--- a/bergamotcourse/coordination/jobs/job_dispatcher.py
+++ b/bergamotcourse/coordination/jobs/job_dispatcher.py
@@ -15,6 +15,7 @@
     TaskState,
 )
 from bergamotcourse.coordination.jobs.placement import URGENT_SECONDS, Wish, choose
+from bergamotcourse.coordination.jobs.work_estimates import WorkEstimates
 from bergamotcourse.coordination.timers import Timers
 from bergamotcourse.protocol.task_messages import Outcome, PlaceTask, TaskEnded
 from bergamotcourse.state.job_spec import JobId, JobQueue, JobSpec
@@ -52,6 +53,7 @@
         self.log = log
         self.jobs: dict[JobId, JobRun] = {}
         self.waiting: list[JobRun] = []
+        self.estimates = WorkEstimates()
         self.outcomes: Counter[JobOutcome] = Counter()
         self.was_waiting = False
         self.began = timers.now()
@@ -134,6 +136,7 @@
         if job.outcome is not None or task.state is TaskState.DONE:
             return
         if ended.outcome is Outcome.DONE:
+            self.estimates.learn(job.queue.name, task.spec.estimate, ended.ran)
             self._task_done(job, task)
             return
         if ended.outcome in (Outcome.FAILED, Outcome.MOVED):
@@ -151,7 +154,8 @@
     # Taking and settling.
 
     def _take(self, spec: JobSpec, queue: JobQueue, seconds: float) -> JobRun:
-        job = JobRun(spec, queue, self.timers.now())
+        factor = self.estimates.factor(queue.name)
+        job = JobRun(spec, queue, self.timers.now(), factor)
         self.jobs[spec.id] = job
         self.waiting.append(job)
         self.log.write(
@@ -251,7 +255,7 @@
             payload=job.spec.payload,
             needs=task.spec.needs,
             rank=round((job.start_by - now) * 1000),
-            estimate=task.spec.estimate,
+            estimate=task.spec.estimate * job.factor,
             patience=URGENT_PATIENCE_MS if is_urgent else PATIENCE_MS,
         )
         self.links.place(link, order, task.spec.needs, task)
--- a/bergamotcourse/coordination/jobs/job_run.py
+++ b/bergamotcourse/coordination/jobs/job_run.py
@@ -78,18 +78,22 @@
     """One job that an entry has taken.
 
     Attributes:
-        work: Seconds of its longest chain of steps, as declared.
+        factor: How many times longer than declared its tasks take, as learnt.
+        work: Seconds of its longest chain of steps, corrected by the factor.
         objective: Seconds within which its caller wants it done.
         runs: Placed runs that may have started.
         finished: Set with the outcome.
         retry_after: Seconds for a caller who was refused.
     """
 
-    def __init__(self, spec: JobSpec, queue: JobQueue, arrived: float):
+    def __init__(
+        self, spec: JobSpec, queue: JobQueue, arrived: float, factor: float = 1.0
+    ):
         self.spec = spec
         self.queue = queue
         self.arrived = arrived
-        self.work = longest_chain(spec.steps)
+        self.factor = factor
+        self.work = longest_chain(spec.steps) * factor
         self.objective = queue.objective(self.work)
         self.tasks = make_tasks(self)
         self.unfinished = len(self.tasks)
--- a/bergamotcourse/coordination/jobs/placement.py
+++ b/bergamotcourse/coordination/jobs/placement.py
@@ -12,7 +12,7 @@
 from bergamotcourse.coordination.jobs.agent_links import AgentLink
 from bergamotcourse.state.job_spec import StepSpec
 
-SLOWNESS_WEIGHT = 0.3
+SLOWNESS_WEIGHT = 0.5
 """How much a slow upstream counts against a full one: entries decide side by side, and
 the last free slots are those at which they collide, so fullness counts more."""
 
