--- a/bergamotcourse/coordination/jobs/work_estimates.py
+++ b/bergamotcourse/coordination/jobs/work_estimates.py
@@ -1,8 +1,8 @@
 """How far the declared times of a queue's tasks are off, learnt from their ends.
 
 Load it answers: jobs whose declared times are off by 40% on the whole, each queue in
-its own direction. Uncorrected, one queue's tasks would seem more urgent than they are, and
-an upstream that runs many of them would seem slow.
+its own direction. Uncorrected, one queue's tasks would seem more urgent than they are,
+and an upstream that runs many of them would seem slow.
 """
 
 import math
