--- /dev/null
+++ b/bergamotcourse/tests/jobs/test_single_run.py
@@ -0,0 +1,315 @@
+"""No two runs of a task at the same time, whatever fails."""
+
+import random
+
+import pytest
+import trio
+
+from bergamotcourse.coordination.jobs import lease_terms
+from bergamotcourse.coordination.jobs.job_run import JobOutcome
+from bergamotcourse.tests.jobs.fleets import run_fleet
+from bergamotcourse.virtual.job_fleet import job
+
+RESEND_SECONDS = 1.3
+"""The soonest that a caller sends a job again after its connection broke."""
+
+
+async def resend(fleet, spec, entry):
+    """Send a job again as a caller does whose connection broke just now."""
+    await trio.sleep(RESEND_SECONDS)
+    return await fleet.submit(entry, spec)
+
+
+class TestBounds:
+    def test_the_leases_end_before_a_caller_sends_again(self):
+        assert lease_terms.OVER_SECONDS < RESEND_SECONDS
+
+    def test_the_leases_outlast_lost_heartbeats(self):
+        assert lease_terms.CONTACT_SECONDS >= 3 * lease_terms.HEARTBEAT_SECONDS
+        renewals = lease_terms.UPSTREAM_LEASE_SECONDS / lease_terms.HOLD_TIMEOUT_SECONDS
+        assert renewals >= 3
+
+
+class TestLostEntry:
+    def test_killed_its_runs_are_over_when_the_caller_comes_again(self):
+        async def main(fleet):
+            spec = job("a", tasks=6, work=2.0)
+            fleet.nursery.start_soon(fleet.submit, "entry-1", spec)
+            await trio.sleep(0.5)
+            fleet.entries["entry-1"].kill()
+            answer = await resend(fleet, spec, "entry-2")
+            assert answer.outcome is JobOutcome.SUCCEEDED
+            assert len(fleet.history) == 12
+            assert fleet.overlaps() == []
+
+        run_fleet(main)
+
+    def test_killed_together_with_the_agents(self):
+        """The agents cannot stop anything: the upstreams' leases have to lapse."""
+
+        async def main(fleet):
+            spec = job("a", tasks=6, work=2.0)
+            fleet.nursery.start_soon(fleet.submit, "entry-1", spec)
+            await trio.sleep(0.5)
+            fleet.entries["entry-1"].kill()
+            for name in list(fleet.agents):
+                fleet.agents[name].kill()
+                fleet.start_agent(name)
+            answer = await resend(fleet, spec, "entry-2")
+            assert answer.outcome is JobOutcome.SUCCEEDED
+            assert fleet.overlaps() == []
+
+        run_fleet(main)
+
+    def test_frozen_it_places_nothing_more_in_its_old_session(self):
+        async def main(fleet):
+            spec = job("a", tasks=6, work=1.0)
+            fleet.nursery.start_soon(fleet.submit, "entry-1", spec)
+            await trio.sleep(0.5)
+            fleet.entries["entry-1"].freeze()
+            answer = await resend(fleet, spec, "entry-2")
+            assert answer.outcome is JobOutcome.SUCCEEDED
+            fleet.nursery.start_soon(fleet.submit, "entry-2", job("b", 6, 2.0))
+            await trio.sleep(0.2)
+            fleet.entries["entry-1"].thaw()
+            await trio.sleep(3.0)
+            assert fleet.overlaps() == []
+
+        run_fleet(main)
+
+
+class TestLostAgent:
+    def test_killed_its_tasks_run_elsewhere_once_its_lease_is_over(self):
+        async def main(fleet):
+            spec = job("a", tasks=4, work=1.0)
+            begun = trio.current_time()
+            fleet.nursery.start_soon(self.kill_agent, fleet, "agent-1")
+            answer = await fleet.submit("entry-1", spec)
+            assert answer.outcome is JobOutcome.SUCCEEDED
+            assert len(fleet.history) == 5
+            assert fleet.overlaps() == []
+            over = 0.3 + lease_terms.OVER_SECONDS + 1.0
+            assert answer.at - begun < over + 0.1
+
+        run_fleet(main)
+
+    def test_killed_and_back_at_once(self):
+        async def main(fleet):
+            spec = job("a", tasks=4, work=1.0)
+            fleet.nursery.start_soon(self.kill_agent, fleet, "agent-1", 0.02)
+            answer = await fleet.submit("entry-1", spec)
+            assert answer.outcome is JobOutcome.SUCCEEDED
+            assert fleet.overlaps() == []
+
+        run_fleet(main)
+
+    @pytest.mark.parametrize("seconds", [0.2, 0.5, 0.9, 2.0])
+    def test_frozen(self, seconds):
+        async def main(fleet):
+            spec = job("a", tasks=8, work=1.0)
+            agent = fleet.agents["agent-1"]
+
+            async def freeze():
+                await trio.sleep(0.3)
+                agent.freeze()
+                await trio.sleep(seconds)
+                agent.thaw()
+
+            fleet.nursery.start_soon(freeze)
+            answer = await fleet.submit("entry-1", spec)
+            assert answer.outcome is JobOutcome.SUCCEEDED
+            await trio.sleep(3.0)
+            assert fleet.overlaps() == []
+
+        run_fleet(main)
+
+    @pytest.mark.parametrize("both_ways", [True, False])
+    def test_cut_from_its_entry(self, both_ways):
+        async def main(fleet):
+            spec = job("a", tasks=8, work=2.0)
+            entry, agent = "tcp://entry-1", "tcp://agent-1"
+
+            async def cut():
+                await trio.sleep(0.3)
+                fleet.network.cut(entry, agent)
+                if both_ways:
+                    fleet.network.cut(agent, entry)
+                await trio.sleep(3.0)
+                fleet.network.heal(entry, agent)
+                fleet.network.heal(agent, entry)
+
+            fleet.nursery.start_soon(cut)
+            answer = await fleet.submit("entry-1", spec, seconds=8.0)
+            assert answer.outcome is JobOutcome.SUCCEEDED
+            await trio.sleep(3.0)
+            assert fleet.overlaps() == []
+
+        run_fleet(main)
+
+    async def kill_agent(self, fleet, name, back_after=None):
+        await trio.sleep(0.3)
+        fleet.agents[name].kill()
+        if back_after is not None:
+            await trio.sleep(back_after)
+            fleet.start_agent(name)
+
+
+class TestLostUpstream:
+    def test_crashed_its_tasks_run_elsewhere(self):
+        async def main(fleet):
+            spec = job("a", tasks=8, work=1.0)
+
+            async def crash():
+                await trio.sleep(0.3)
+                fleet.upstreams["agent-1"].crash()
+                await trio.sleep(1.0)
+                fleet.start_upstream("agent-1")
+
+            fleet.nursery.start_soon(crash)
+            answer = await fleet.submit("entry-1", spec, seconds=8.0)
+            assert answer.outcome is JobOutcome.SUCCEEDED
+            assert fleet.overlaps() == []
+
+        run_fleet(main)
+
+    def test_cut_from_its_agent(self):
+        async def main(fleet):
+            spec = job("a", tasks=8, work=1.5)
+
+            async def cut():
+                await trio.sleep(0.3)
+                fleet.cut_upstreams.add("agent-1")
+                await trio.sleep(2.0)
+                fleet.cut_upstreams.clear()
+
+            fleet.nursery.start_soon(cut)
+            answer = await fleet.submit("entry-1", spec, seconds=8.0)
+            assert answer.outcome is JobOutcome.SUCCEEDED
+            assert fleet.overlaps() == []
+
+        run_fleet(main)
+
+    def test_that_answers_late_or_never(self):
+        async def main(fleet):
+            for upstream in fleet.upstreams.values():
+                upstream.behaviour.unanswered = 0.15
+            for number in range(20):
+                spec = job(f"j{number}", tasks=6, work=0.2)
+                await fleet.submit(f"entry-{number % 2 + 1}", spec)
+            await trio.sleep(7.0)
+            assert fleet.overlaps() == []
+
+        run_fleet(main)
+
+
+class TestPlannedEnds:
+    def test_a_draining_upstream_starts_nothing_more(self):
+        async def main(fleet):
+            upstream = fleet.upstreams["agent-1"]
+            upstream.draining = True
+            await trio.sleep(1.6)
+            for number in range(5):
+                await fleet.submit("entry-1", job(f"j{number}", tasks=8, work=0.1))
+            assert upstream.id not in {run.upstream for run in fleet.history}
+
+        run_fleet(main)
+
+
+class Chaos:
+    """Faults at random, one after the other and at the same time."""
+
+    def __init__(self, fleet, seed):
+        self.fleet = fleet
+        self.rng = random.Random(seed)
+        self.jobs = 0
+        self.outcomes = []
+        self.struck = set()
+
+    async def run(self):
+        async with trio.open_nursery() as nursery:
+            for _ in range(3):
+                nursery.start_soon(self.fault)
+            for _ in range(40):
+                nursery.start_soon(self.caller)
+                await trio.sleep(0.1)
+
+    async def caller(self):
+        self.jobs += 1
+        spec = job(f"j{self.jobs}", self.rng.randint(1, 8), self.rng.uniform(0.1, 1.5))
+        for _ in range(3):
+            entry = self.rng.choice(list(self.fleet.entries))
+            answer = await self.fleet.submit(entry, spec, seconds=4.0)
+            if answer.outcome not in (None, JobOutcome.TIMED_OUT):
+                break
+            await trio.sleep(RESEND_SECONDS)
+        self.outcomes.append(answer.outcome)
+
+    async def fault(self):
+        fleet, rng = self.fleet, self.rng
+        await trio.sleep(rng.uniform(0.2, 1.0))
+        for _ in range(3):
+            agent = rng.choice(sorted(set(fleet.agents) - self.struck))
+            entry = rng.choice(sorted(set(fleet.entries) - self.struck) or ["entry-1"])
+            seconds = rng.uniform(0.05, 2.0)
+            if entry in self.struck:
+                continue
+            self.struck.update((agent, entry))
+            match rng.randrange(7):
+                case 0:
+                    fleet.agents[agent].kill()
+                    await trio.sleep(seconds)
+                    fleet.start_agent(agent)
+                case 1:
+                    fleet.entries[entry].kill()
+                    await trio.sleep(seconds)
+                    fleet.start_entry(entry)
+                    self.introduce(entry)
+                case 2:
+                    process = fleet.agents[agent]
+                    process.freeze()
+                    await trio.sleep(seconds)
+                    process.thaw()
+                case 3:
+                    process = fleet.entries[entry]
+                    process.freeze()
+                    await trio.sleep(seconds)
+                    process.thaw()
+                case 4:
+                    pair = f"tcp://{entry}", f"tcp://{agent}"
+                    pair = rng.choice([pair, pair[::-1]])
+                    fleet.network.cut(*pair)
+                    await trio.sleep(seconds)
+                    fleet.network.heal(*pair)
+                case 5:
+                    fleet.upstreams[agent].crash()
+                    await trio.sleep(seconds)
+                    fleet.start_upstream(agent)
+                case 6:
+                    fleet.cut_upstreams.add(agent)
+                    await trio.sleep(seconds)
+                    fleet.cut_upstreams.discard(agent)
+            self.struck.difference_update((agent, entry))
+
+    def introduce(self, entry):
+        address = self.fleet.entries[entry].address
+        for agent in self.fleet.agents.values():
+            agent.contacts.learn([address])
+
+
+class TestChaos:
+    @pytest.mark.parametrize("seed", range(12))
+    def test_no_run_overlaps_and_all_is_served_afterwards(self, seed):
+        async def main(fleet):
+            chaos = Chaos(fleet, seed)
+            for upstream in fleet.upstreams.values():
+                upstream.behaviour.unanswered = 0.03 if seed % 2 else 0.0
+            await chaos.run()
+            assert fleet.overlaps() == []
+            for upstream in fleet.upstreams.values():
+                upstream.behaviour.unanswered = 0.0
+            await trio.sleep(8.0)
+            answer = await fleet.submit("entry-1", job("last", tasks=8))
+            assert answer.outcome is JobOutcome.SUCCEEDED
+            assert fleet.overlaps() == []
+
+        run_fleet(main, seed=seed, agents=4, entries=2)
--- a/bergamotcourse/virtual/job_fleet.py
+++ b/bergamotcourse/virtual/job_fleet.py
@@ -260,6 +260,8 @@
     ) -> Answer:
         """Hand a job in as a caller does."""
         process = self.entries[entry]
+        if process.scope.cancel_called:
+            return Answer(None, trio.current_time())
         answers = []
         done = trio.Event()
 
