--- a/bergamotcourse/coordination/jobs/job_dispatcher.py
+++ b/bergamotcourse/coordination/jobs/job_dispatcher.py
@@ -14,7 +14,7 @@
     TaskRun,
     TaskState,
 )
-from bergamotcourse.coordination.jobs.placement import URGENT_SECONDS, Wish, choose
+from bergamotcourse.coordination.jobs.placement import Wish, choose
 from bergamotcourse.coordination.jobs.work_estimates import WorkEstimates
 from bergamotcourse.coordination.timers import Timers
 from bergamotcourse.protocol.task_messages import Outcome, PlaceTask, TaskEnded
@@ -23,14 +23,12 @@
 ANSWER_SECONDS = 0.06
 """Left of a caller's time for the answer's way back."""
 
+NEVER = float("inf")
+
 PATIENCE_MS = 15
 """A run that finds no room after all comes back after this: two entries may have
 counted on the same room, and there may be some elsewhere."""
 
-URGENT_PATIENCE_MS = 60
-"""An urgent run waits longer where it was placed: an upstream of ten slots frees one
-each 40 ms at full use, and the urgent run is first."""
-
 NEVER_RAN = (Outcome.RETURNED, Outcome.STALE)
 
 REFUSAL_SECONDS = 1.0
@@ -44,6 +42,7 @@
         jobs: Those without an outcome, by id.
         waiting: Those with tasks that are to be placed.
         outcomes: Counts by outcome.
+        ends_at: When this entry ends, once a planned stop has begun.
     """
 
     def __init__(self, zone: str, links: AgentLinks, timers: Timers, log: EventLog):
@@ -57,6 +56,7 @@
         self.outcomes: Counter[JobOutcome] = Counter()
         self.was_waiting = False
         self.began = timers.now()
+        self.ends_at = NEVER
         links.on_end = self.take_end
         links.on_room = self.pump
         links.is_waiting = self.is_waiting
@@ -167,7 +167,8 @@
             waits_ms=round(seconds * 1000),
         )
         age = job.arrived - self.began
-        refusal = refusal_at_once(job, self.links.usable(), age)
+        left = min(seconds, self.ends_at - job.arrived)
+        refusal = refusal_at_once(job, self.links.usable(), age, left)
         if refusal is not None:
             job.retry_after = refusal.retry_after
             job.finish(JobOutcome.REFUSED, refusal.why)
@@ -221,7 +222,7 @@
     def _place_pending(self, job: JobRun, links: list[AgentLink], now: float) -> bool:
         """Place the tasks of a job; false if one finds no room."""
         for task in job.pending():
-            link = self._choose(job, task, links, now)
+            link = self._choose(job, task, links)
             if link is None:
                 return False
             self._place(job, task, link, now)
@@ -229,13 +230,12 @@
         return True
 
     def _choose(
-        self, job: JobRun, task: TaskRun, links: list[AgentLink], now: float
+        self, job: JobRun, task: TaskRun, links: list[AgentLink]
     ) -> AgentLink | None:
         wish = Wish(
             service=job.queue.service,
             step=task.spec,
             avoid=frozenset(task.avoid),
-            slack=job.start_by - now,
             zone=self.zone,
         )
         # Where it failed everywhere, it is tried anywhere.
@@ -248,7 +248,6 @@
         task.state = TaskState.PLACED
         task.where = link
         task.placed_at = now
-        is_urgent = job.start_by - now <= URGENT_SECONDS
         order = PlaceTask(
             key=task.key,
             request=job.spec.id,
@@ -256,7 +255,7 @@
             needs=task.spec.needs,
             rank=round((job.start_by - now) * 1000),
             estimate=task.spec.estimate * job.factor,
-            patience=URGENT_PATIENCE_MS if is_urgent else PATIENCE_MS,
+            patience=PATIENCE_MS,
         )
         self.links.place(link, order, task.spec.needs, task)
         self.log.write(
--- a/bergamotcourse/coordination/jobs/job_order.py
+++ b/bergamotcourse/coordination/jobs/job_order.py
@@ -10,6 +10,9 @@
 from bergamotcourse.coordination.jobs.agent_links import AgentLink
 from bergamotcourse.coordination.jobs.job_run import JobRun
 
+LEAST_SHARE = 0.5
+"""Share of a job's work for which there must be time: declared times are off by 40%."""
+
 LEARNING_SECONDS = 4.0
 """An entry that began no longer ago may learn of upstreams any moment: after a loss of
 all processes they come back within two seconds."""
@@ -32,14 +35,19 @@
     return (is_late and not job.may_have_run, job.start_by)
 
 
-def refusal_at_once(job: JobRun, links: list[AgentLink], age: float) -> Refusal | None:
+def refusal_at_once(
+    job: JobRun, links: list[AgentLink], age: float, left: float
+) -> Refusal | None:
     """Return why a job that has just come is refused, or ``None``.
 
     Args:
         job: The job.
         links: The agents that may get tasks.
         age: Seconds since this entry began.
+        left: Seconds until its caller leaves, or this entry ends.
     """
+    if left < LEAST_SHARE * job.work:
+        return Refusal("it cannot be done in the time that is left", RETRY_SECONDS)
     serving = [link for link in links if link.room.service == job.queue.service]
     serving = [link for link in serving if link.room.capacity.cpu]
     if not serving and age < LEARNING_SECONDS:
--- a/bergamotcourse/daemons/job_entry.py
+++ b/bergamotcourse/daemons/job_entry.py
@@ -103,6 +103,7 @@
         seconds = self.node.settings.stop_seconds - ANSWER_SECONDS
         begun = trio.current_time()
         self.stopping = True
+        self.jobs.ends_at = self.node.timers.now() + seconds
         self.node.log.write("entry.stopping", jobs=len(self.jobs.jobs))
         await trio.sleep(BALANCER_SECONDS)
         self.callers.refusing = "this entry is stopping"
--- a/bergamotcourse/daemons/job_process.py
+++ b/bergamotcourse/daemons/job_process.py
@@ -4,14 +4,16 @@
 import signal
 import sys
 import time
-from typing import Protocol
+from typing import Any, Protocol
 
 import trio
 
 from bergamotcourse.coordination.event_log import EventLog
 from bergamotcourse.coordination.timers import Timers
+from bergamotcourse.daemons.job_metrics import JobMetrics
 from bergamotcourse.daemons.job_platform import JobPlatform
 from bergamotcourse.daemons.json_log import JsonLog
+from bergamotcourse.daemons.process import serve_http
 from bergamotcourse.errors import BergamotcourseError
 from bergamotcourse.ids import LinkAddress
 from bergamotcourse.protocol.mailer import Mailer
@@ -26,6 +28,9 @@
 RECONNECT_MS = 100
 """A process is back within a second or two: its peers find it a tenth of one later."""
 
+METRICS_PORT = 9464
+"""Where the metrics are served; the deployment tells it to those who read them."""
+
 LAST_MESSAGES_SECONDS = 0.2
 """For the link to hand over what was posted last."""
 
@@ -62,7 +67,8 @@
         self.timers = Timers(self.rng)
         self.boot = self.steady_clock_ms()
         self.json_log = JsonLog(self.settings.name)
-        self.log = EventLog(self.json_log.sink)
+        self.metrics = JobMetrics()
+        self.log = EventLog(self._sink)
         where = self.settings.link
         link = NngLink(where.host, where.port, reconnect_ms=RECONNECT_MS)
         self.mailer = Mailer(link, rng=self.rng)
@@ -73,6 +79,10 @@
         """Return the machine's steady clock in milliseconds, suspensions included."""
         return int(time.clock_gettime(time.CLOCK_BOOTTIME) * 1000)
 
+    def _sink(self, kind: str, fields: dict[str, Any]) -> None:
+        self.metrics.sink(kind, fields)
+        self.json_log.sink(kind, fields)
+
     def seeds(self) -> list[LinkAddress]:
         """Return the links of entries that the settings name."""
         return [link_address(seed) for seed in self.settings.seeds]
@@ -135,6 +145,8 @@
             nursery.start_soon(node.mailer.run)
             await node.mailer.link.wait_open()
             nursery.start_soon(node.timers.run)
+            where = Endpoint(node.settings.link.host, METRICS_PORT)
+            nursery.start_soon(serve_http, server(where, node.metrics.handle))
             daemon = kind(node)
             await daemon.run(nursery)
             nursery.start_soon(node.follow_settings, daemon)
--- a/bergamotcourse/daemons/json_log.py
+++ b/bergamotcourse/daemons/json_log.py
@@ -7,6 +7,7 @@
 import os
 import time
 from collections import Counter
+from collections.abc import Callable
 from typing import Any
 
 import msgspec
@@ -33,8 +34,11 @@
         dropped: Lines that the reader did not take.
     """
 
-    def __init__(self, name: str, fd: int = STDOUT):
+    def __init__(
+        self, name: str, fd: int = STDOUT, clock: Callable[[], float] = time.time
+    ):
         self.name = name
+        self.clock = clock
         self.fd = fd
         self.encoder = msgspec.json.Encoder(enc_hook=str)
         self.lines: list[bytes] = []
@@ -46,7 +50,7 @@
 
     def sink(self, kind: str, fields: dict[str, Any]) -> None:
         """Take one event."""
-        now = time.time()
+        now = self.clock()
         self._turn_window(int(now))
         self.written[kind] += 1
         if self.written[kind] > LINES_PER_SECOND:
@@ -68,7 +72,7 @@
 
     def flush(self) -> None:
         """Write what the reader takes now."""
-        self._turn_window(int(time.time()))
+        self._turn_window(int(self.clock()))
         data = self.rest + b"".join(self.lines)
         self.lines.clear()
         while data:
--- /dev/null
+++ b/bergamotcourse/tests/daemons/test_job_metrics.py
@@ -0,0 +1,34 @@
+import trio
+
+from bergamotcourse.daemons.job_metrics import JobMetrics
+from bergamotcourse.transport.http import HttpRequest
+
+
+def scrape(metrics, target="/metrics"):
+    async def main():
+        return await metrics.handle(HttpRequest("GET", target))
+
+    return trio.run(main)
+
+
+class TestJobMetrics:
+    def test_counts_events_by_outcome(self):
+        metrics = JobMetrics()
+        metrics.sink("job.settled", {"outcome": "refused", "took_ms": 30})
+        metrics.sink("run.start", {"verdict": "started", "waited_ms": 2})
+        text = scrape(metrics).body.decode()
+        assert (
+            'bergamotcourse_events_total{event="job.settled",outcome="refused"} 1.0'
+            in text
+        )
+        assert 'event="run.start",outcome="started"' in text
+
+    def test_measures_the_latency_of_each_stage(self):
+        metrics = JobMetrics()
+        metrics.sink("run.end", {"outcome": "done", "ran_ms": 120})
+        text = scrape(metrics).body.decode()
+        name = 'bergamotcourse_seconds_bucket{le="0.15",outcome="done",stage="run"}'
+        assert f"{name} 1.0" in text
+
+    def test_serves_nothing_else(self):
+        assert scrape(JobMetrics(), "/other").status == 404
--- /dev/null
+++ b/bergamotcourse/tests/daemons/test_json_log.py
@@ -0,0 +1,61 @@
+import json
+import os
+
+from bergamotcourse.daemons.json_log import LINES_PER_SECOND, JsonLog
+
+
+def lines_of(fd):
+    os.set_blocking(fd, False)
+    try:
+        return [json.loads(line) for line in os.read(fd, 1 << 20).splitlines()]
+    except BlockingIOError:
+        return []
+
+
+class TestJsonLog:
+    def test_writes_one_line_for_each_event(self):
+        reader, writer = os.pipe()
+        log = JsonLog("entry-1", writer)
+        log.sink("job.taken", {"request": "a", "tasks": 2})
+        log.flush()
+        [line] = lines_of(reader)
+        assert line["event"] == "job.taken"
+        assert line["node"] == "entry-1"
+        assert line["request"] == "a"
+
+    def test_is_bounded_for_each_kind_and_tells_what_was_left_out(self):
+        reader, writer = os.pipe()
+        seconds = [1.0]
+        log = JsonLog("entry-1", writer, lambda: seconds[0])
+        for number in range(LINES_PER_SECOND + 7):
+            log.sink("run.end", {"number": number})
+        log.sink("job.taken", {})
+        seconds[0] = 2.0
+        log.flush()
+        lines = lines_of(reader)
+        ends = [line for line in lines if line["event"] == "run.end"]
+        assert len(ends) == LINES_PER_SECOND
+        assert [line["event"] for line in lines[-2:]] == ["job.taken", "log.omitted"]
+        assert lines[-1]["kinds"] == {"run.end": 7}
+
+    def test_never_blocks_on_a_reader_that_does_not_read(self):
+        reader, writer = os.pipe()
+        os.set_blocking(writer, False)
+        log = JsonLog("entry-1", writer)
+        for _ in range(40):
+            log.lines += [b"x" * 1000 + b"\n"] * 1000
+            log.flush()
+        assert len(log.rest) > 0
+        log.lines.clear()
+        log.sink("job.taken", {})
+        assert log.dropped or log.lines
+        os.close(reader)
+
+    def test_goes_on_when_the_reader_is_gone(self):
+        reader, writer = os.pipe()
+        os.set_blocking(writer, False)
+        os.close(reader)
+        log = JsonLog("entry-1", writer)
+        log.sink("job.taken", {})
+        log.flush()
+        assert log.rest == b""
--- a/bergamotcourse/tests/jobs/test_job_path.py
+++ b/bergamotcourse/tests/jobs/test_job_path.py
@@ -142,3 +142,22 @@
             assert answer.at == begun
 
         run_fleet(main)
+
+    def test_of_a_job_whose_caller_leaves_too_soon_is_immediate(self):
+        async def main(fleet):
+            answer = await fleet.submit("entry-1", job("a", work=1.0), seconds=0.2)
+            assert answer.outcome is JobOutcome.REFUSED
+            assert fleet.history == []
+
+        run_fleet(main)
+
+    def test_of_a_job_that_a_stopping_entry_cannot_finish_is_immediate(self):
+        async def main(fleet):
+            entry = fleet.entries["entry-1"]
+            entry.jobs.ends_at = entry.timers.now() + 1.0
+            answer = await fleet.submit("entry-1", job("long", work=4.0), seconds=9.0)
+            assert answer.outcome is JobOutcome.REFUSED
+            answer = await fleet.submit("entry-1", job("short", work=0.2))
+            assert answer.outcome is JobOutcome.SUCCEEDED
+
+        run_fleet(main)
--- /dev/null
+++ b/bergamotcourse/tests/platform/test_documents.py
@@ -0,0 +1,125 @@
+import contextlib
+
+import msgspec
+import pytest
+from hypothesis import given
+from hypothesis import strategies as st
+
+from bergamotcourse.platform.documents import (
+    decode_job,
+    decode_queues,
+    decode_report,
+)
+from bergamotcourse.state.resources import Resources
+
+CONFIG = {
+    "version": 7,
+    "routes": [
+        {
+            "name": "r-1",
+            "host": "one.example",
+            "path_prefix": "/a/",
+            "type": "unsafe",
+            "timeout_ms": 1500,
+            "target_latency_ms": 60,
+            "priority": 0,
+            "service": "votes",
+            "max_attempts": 2,
+            "slack_factor": 1.6,
+        },
+        {"name": "r-2", "host": "one.example", "path_prefix": "/a/b/", "service": "x"},
+    ],
+    "services": [],
+    "limits": {},
+}
+JOB = {"spec": "text", "steps": [{"count": 4, "cpu": 500, "estimated_ms": 900}]}
+BEAT = {
+    "service": "votes",
+    "address": "10.0.0.9:8080",
+    "zone": "north-1",
+    "state": "ready",
+    "sequence": 4,
+    "capacity": {"cpu": 16000, "mem_mb": 32768, "gpu": 0},
+    "labels": ["a", "r1-3"],
+    "clock_ms": 482113,
+}
+
+
+def encoded(document, **changes):
+    return msgspec.json.encode({**document, **changes})
+
+
+class TestQueues:
+    def test_the_longest_prefix_of_the_host_wins(self):
+        table = decode_queues(encoded(CONFIG))
+        assert table.version == 7
+        assert table.find("one.example", "/a/b/0123").name == "r-2"
+        assert table.find("one.example", "/a/0123").name == "r-1"
+        assert table.find("two.example", "/a/0123") is None
+        assert table.find("one.example", "/c/") is None
+
+    def test_times_are_seconds(self):
+        queue = decode_queues(encoded(CONFIG)).queues[0]
+        assert queue.target_latency == 0.06
+        assert queue.objective(1.0) == pytest.approx(1.66)
+
+    def test_a_malformed_one_is_refused(self):
+        with pytest.raises(ValueError):
+            decode_queues(b'{"version": "x"}')
+
+
+class TestJob:
+    def test_of_one_step(self):
+        job = decode_job("0" * 16, encoded(JOB, best_effort=True))
+        assert not job.kept
+        assert job.steps[0].needs == Resources(500, 0, 0)
+        assert job.steps[0].estimate == 0.9
+
+    def test_is_kept_unless_it_says_otherwise(self):
+        assert decode_job("0" * 16, encoded(JOB)).kept
+
+    @pytest.mark.parametrize(
+        "steps",
+        [
+            [],
+            [{"count": 0}],
+            [{"count": 1, "cpu": -1}],
+            [{"count": 1, "after": [0]}],
+            [{"count": 20_000}],
+            [{"count": "many"}],
+        ],
+    )
+    def test_a_malformed_one_is_refused(self, steps):
+        with pytest.raises(ValueError):
+            decode_job("0" * 16, encoded(JOB, steps=steps))
+
+    @pytest.mark.parametrize(
+        "field, name",
+        [("gang", "gang"), ("fills", "fills"), ("long_running", "long_running")],
+    )
+    def test_what_cannot_be_honoured_is_named(self, field, name):
+        step = {"count": 1, field: True}
+        job = decode_job("0" * 16, encoded(JOB, steps=[step]))
+        assert job.unsupported == (name,)
+
+    @given(st.binary(max_size=200))
+    def test_garbage_is_refused_with_a_value_error(self, body):
+        with contextlib.suppress(ValueError):
+            decode_job("0" * 16, body)
+
+
+class TestReport:
+    def test_is_decoded_into_typed_fields(self):
+        report = decode_report("i-1", encoded(BEAT))
+        assert report.capacity == Resources(16000, 32768, 0)
+        assert report.clock == 482.113
+        assert report.rack == "r1-3"
+        assert not report.draining
+
+    def test_of_one_that_leaves(self):
+        assert decode_report("i-1", encoded(BEAT, state="draining")).draining
+
+    @given(st.binary(max_size=200))
+    def test_garbage_is_refused_with_a_value_error(self, body):
+        with contextlib.suppress(ValueError):
+            decode_report("i-1", body)
