--- a/bergamotcourse/coordination/jobs/contacts.py
+++ b/bergamotcourse/coordination/jobs/contacts.py
@@ -27,7 +27,7 @@
     AgentTurn,
     EntryTurn,
     Farewell,
-    Greeting,
+    Hello,
     PlaceTask,
     TaskEnded,
     WithdrawTask,
@@ -118,7 +118,7 @@
         match message:
             case EntryTurn():
                 self._take_turn(sender, message)
-            case Greeting():
+            case Hello():
                 self.learn([sender, *message.entries] if not message.agent else [])
             case Farewell():
                 self._forget(sender, "it has stopped")
--- a/bergamotcourse/coordination/jobs/peers.py
+++ b/bergamotcourse/coordination/jobs/peers.py
@@ -20,7 +20,7 @@
     ConfigCopy,
     ConfigWanted,
     Farewell,
-    Greeting,
+    Hello,
 )
 
 GREET_SECONDS = 0.4
@@ -98,7 +98,7 @@
     def take(self, sender: LinkAddress, message: Message) -> None:
         """Act on a message of another process."""
         match message:
-            case Greeting():
+            case Hello():
                 self._take_greeting(sender, message)
             case ConfigWanted(version=version):
                 if version < self.queues.version:
@@ -121,7 +121,7 @@
         for address in [*self.peers, *self.agents()]:
             self.mailer.post(address, Farewell(agent=False))
 
-    def _take_greeting(self, sender: LinkAddress, greeting: Greeting) -> None:
+    def _take_greeting(self, sender: LinkAddress, greeting: Hello) -> None:
         self.learn([LinkAddress(entry) for entry in greeting.entries])
         self.greet_agents([LinkAddress(agent) for agent in greeting.agents])
         if not greeting.agent:
@@ -156,7 +156,7 @@
         for address in self.peers:
             self.mailer.post(address, self._greeting(asks=False))
 
-    def _greeting(self, asks: bool, whole: bool = False) -> Greeting:
+    def _greeting(self, asks: bool, whole: bool = False) -> Hello:
         entries = list(self.peers) if whole else []
         agents = self.agents() if whole else []
-        return Greeting(False, entries, agents, self.queues.version, asks)
+        return Hello(False, entries, agents, self.queues.version, asks)
--- a/bergamotcourse/protocol/messages.py
+++ b/bergamotcourse/protocol/messages.py
@@ -20,7 +20,7 @@
     ConfigWanted,
     EntryTurn,
     Farewell,
-    Greeting,
+    Hello,
 )
 
 SCHEMA_VERSION = 1
@@ -548,7 +548,7 @@
     | CloseUpstreams
     | AgentTurn
     | EntryTurn
-    | Greeting
+    | Hello
     | ConfigWanted
     | ConfigCopy
     | Farewell
--- a/bergamotcourse/protocol/task_messages.py
+++ b/bergamotcourse/protocol/task_messages.py
@@ -138,7 +138,7 @@
     waiting: bool
 
 
-class Greeting(Message, frozen=True):
+class Hello(Message, frozen=True):
     """A process makes itself known, and asks for the others that are known.
 
     Attributes:
