--- a/bergamotcourse/coordination/jobs/upstream_health.py
+++ b/bergamotcourse/coordination/jobs/upstream_health.py
@@ -43,9 +43,6 @@
 YOUNG_SECONDS = 0.25
 """A run on a slow upstream that has not told its speed by then is moved."""
 
-RECOVERED = 0.6
-"""Share of ``SLOW`` below which an upstream has its speed again."""
-
 MOVE_SECONDS = 0.1
 """For stopping a run and starting it elsewhere."""
 
@@ -59,7 +56,7 @@
         slowness: Average of the time taken over the time declared.
         pace: The same for the tasks that run now; 0 while too few tell.
         stalled: Runs that stood still, since the last that ended well.
-        slow: It takes far longer than usual.
+        slow_since: When it was found to take far longer than usual; ``None`` if not.
         trial_at: When an upstream on trial may get its next task.
     """
 
@@ -67,7 +64,7 @@
     slowness: float = 1.0
     pace: float = 0.0
     stalled: int = 0
-    slow: bool = False
+    slow_since: float | None = None
     trial_at: float = 0.0
 
     def ended(self, kind: EndKind, run: PlacedRun, ran: float, now: float) -> None:
@@ -88,6 +85,11 @@
         self.failures += 1
         self.trial_at = now + TRIAL_SECONDS
 
+    @property
+    def slow(self) -> bool:
+        """Return whether it takes far longer than usual."""
+        return self.slow_since is not None
+
     def on_trial(self) -> bool:
         """Return whether it gets one task at a time."""
         return self.failures >= FAILURES_FOR_TRIAL or self.stalled > 0 or self.slow
@@ -102,7 +104,10 @@
         self._look_at_pace(running, now)
         if not self.slow:
             return stalled
-        return [run for run in running if run in stalled or self._gains(run, now)]
+        moved = [run for run in running if run in stalled or self._gains(run, now)]
+        if moved:
+            self.trial_at = now + TRIAL_SECONDS
+        return moved
 
     def _look_at_pace(self, running: list[PlacedRun], now: float) -> None:
         paces = [
@@ -110,14 +115,12 @@
             for run in running
             if run.progress >= LEAST_PROGRESS and run.order.estimate > 0
         ]
-        if self.slow and paces and max(paces) < RECOVERED * SLOW * self.slowness:
-            self.slow = False
         if len(paces) < LEAST_RUNS:
             self.pace = 0.0
             return
         self.pace = sorted(paces)[len(paces) // 2]
-        if self.pace >= SLOW * self.slowness:
-            self.slow = True
+        if self.pace >= SLOW * self.slowness and not self.slow:
+            self.slow_since = now
             self.trial_at = now + TRIAL_SECONDS
 
     def _gains(self, run: PlacedRun, now: float) -> bool:
@@ -133,8 +136,9 @@
             return
         ratio = min(max(ran / run.order.estimate, LEAST_SLOWNESS), MOST_SLOWNESS)
         if self.slow:
-            # A task on trial tells whether the upstream is back to its speed.
-            self.slow = ratio >= SLOW * self.slowness
+            # Runs from before were quick until then; only a trial tells.
+            if run.started_at > self.slow_since and ratio < SLOW * self.slowness:
+                self.slow_since = None
             return
         self.slowness += SPEED_WEIGHT * (min(ratio, SLOW) - self.slowness)
 
--- /dev/null
+++ b/bergamotcourse/tests/jobs/test_upstream_health.py
@@ -0,0 +1,109 @@
+"""What ends and progress tell of an upstream, replayed as they came."""
+
+from bergamotcourse.coordination.jobs.task_runs import PlacedRun, RunState
+from bergamotcourse.coordination.jobs.upstream_health import (
+    FAILURES_FOR_TRIAL,
+    STALL_SECONDS,
+    TRIAL_SECONDS,
+    UpstreamHealth,
+)
+from bergamotcourse.ids import LinkAddress
+from bergamotcourse.protocol.task_messages import PlaceTask
+from bergamotcourse.protocol.upstream_orders import EndKind, RunKey
+from bergamotcourse.state.job_spec import TaskName
+from bergamotcourse.state.resources import Resources
+
+ENTRY = LinkAddress("tcp://entry-1")
+
+
+def make_run(number, started_at, progress=0.0, progress_at=None, estimate=0.4):
+    key = RunKey(TaskName(f"task-{number}"), 1)
+    order = PlaceTask(key, "job", "", Resources(3100), 100, estimate, 15)
+    run = PlacedRun(key, ENTRY, order, started_at, RunState.RUNNING)
+    run.started_at = started_at
+    run.progress = progress
+    run.progress_at = started_at if progress_at is None else progress_at
+    return run
+
+
+def slow_runs(count, started_at, now, slowness):
+    """Runs whose speed is so many times lower than declared."""
+    progress = (now - started_at) / (0.4 * slowness)
+    return [make_run(n, started_at, progress, now) for n in range(count)]
+
+
+class TestFailures:
+    def test_several_in_a_row_put_it_on_trial(self):
+        health = UpstreamHealth()
+        for number in range(FAILURES_FOR_TRIAL):
+            assert not health.on_trial()
+            health.ended(EndKind.FAILED, make_run(number, 0.0), 0.03, 1.0)
+        assert health.on_trial()
+
+    def test_a_good_end_brings_it_back(self):
+        health = UpstreamHealth(failures=FAILURES_FOR_TRIAL)
+        health.ended(EndKind.DONE, make_run(1, 0.0), 0.4, 1.0)
+        assert not health.on_trial()
+
+    def test_one_of_a_job_that_can_never_be_done_says_nothing(self):
+        health = UpstreamHealth()
+        for number in range(20):
+            health.ended(EndKind.FAILED, make_run(number, 0.0), 0.4, 1.0)
+            health.ended(EndKind.DONE, make_run(number, 0.0), 0.4, 1.0)
+        assert not health.on_trial()
+
+
+class TestStall:
+    def test_a_run_without_progress_is_moved(self):
+        health = UpstreamHealth()
+        still = make_run(1, 0.0, 0.2, 0.1)
+        moving = make_run(2, 0.0, 0.2, 0.1 + STALL_SECONDS)
+        now = 0.1 + STALL_SECONDS
+        assert health.runs_to_move([still, moving], now) == [still]
+        assert health.on_trial()
+
+
+class TestSlow:
+    def test_many_slow_runs_are_moved(self):
+        health = UpstreamHealth()
+        runs = slow_runs(6, 0.0, 0.3, slowness=6.5)
+        assert health.runs_to_move(runs, 0.3) == runs
+        assert health.on_trial()
+
+    def test_times_that_are_declared_wrong_are_no_sign(self):
+        health = UpstreamHealth()
+        runs = slow_runs(6, 0.0, 0.3, slowness=1.6)
+        assert health.runs_to_move(runs, 0.3) == []
+        assert not health.on_trial()
+
+    def test_what_is_nearly_done_stays(self):
+        health = UpstreamHealth()
+        runs = slow_runs(6, 0.0, 0.3, slowness=6.5)
+        last = make_run(9, -2.0, 0.95, 0.3)
+        assert last not in health.runs_to_move([*runs, last], 0.3)
+
+    def test_the_end_of_a_run_from_before_does_not_bring_it_back(self):
+        health = UpstreamHealth()
+        old = make_run(9, -0.5, 0.9, 0.3)
+        health.runs_to_move([*slow_runs(6, 0.0, 0.3, slowness=6.5), old], 0.3)
+        health.ended(EndKind.DONE, old, 0.5, 0.4)
+        assert health.on_trial()
+
+    def test_a_trial_at_the_usual_speed_brings_it_back(self):
+        health = UpstreamHealth()
+        health.runs_to_move(slow_runs(6, 0.0, 0.3, slowness=6.5), 0.3)
+        health.ended(EndKind.DONE, make_run(10, 1.3), 0.45, 1.75)
+        assert not health.on_trial()
+
+    def test_a_trial_that_is_slow_does_not(self):
+        health = UpstreamHealth()
+        health.runs_to_move(slow_runs(6, 0.0, 0.3, slowness=6.5), 0.3)
+        health.ended(EndKind.DONE, make_run(10, 1.3), 2.6, 3.9)
+        assert health.on_trial()
+
+    def test_the_next_trial_comes_a_while_after_one_that_was_moved(self):
+        health = UpstreamHealth()
+        health.runs_to_move(slow_runs(6, 0.0, 0.3, slowness=6.5), 0.3)
+        trial = slow_runs(1, 2.0, 2.3, slowness=6.5)
+        assert health.runs_to_move(trial, 2.3) == trial
+        assert health.trial_at == 2.3 + TRIAL_SECONDS
