--- /dev/null
+++ b/bergamotcourse/coordination/jobs/job_service.py
@@ -0,0 +1,96 @@
+"""What an entry answers its callers about jobs, apart from how they ask."""
+
+from dataclasses import dataclass
+from enum import Enum
+
+from bergamotcourse.coordination.event_log import EventLog
+from bergamotcourse.coordination.jobs.job_dispatcher import JobDispatcher
+from bergamotcourse.coordination.jobs.job_run import JobOutcome
+from bergamotcourse.coordination.jobs.queues_in_force import QueuesInForce
+from bergamotcourse.state.job_spec import JobId, JobQueue, JobSpec
+
+CLOSED_RETRY_SECONDS = 1.0
+"""Callers of an entry that takes no jobs find another one within this."""
+
+
+class JobState(Enum):
+    """The state of a job whose outcome is open."""
+
+    QUEUED = "queued"
+    RUNNING = "running"
+
+
+@dataclass(frozen=True)
+class JobAnswer:
+    """The answer to a caller that handed a job in.
+
+    Attributes:
+        outcome: ``None`` where the id belongs to another job that is running.
+        retry_after: Seconds for a caller who was refused.
+    """
+
+    outcome: JobOutcome | None
+    why: str = ""
+    retry_after: float = 0.0
+
+
+class JobService:
+    """Takes jobs into the queues in force.
+
+    Attributes:
+        closed: Why new jobs are refused, or empty.
+    """
+
+    def __init__(self, queues: QueuesInForce, jobs: JobDispatcher, log: EventLog):
+        self.queues = queues
+        self.jobs = jobs
+        self.log = log
+        self.closed = ""
+
+    def is_configured(self) -> bool:
+        """Return whether a configuration is in force."""
+        return self.queues.table is not None
+
+    def find_queue(self, host: str, path: str) -> JobQueue | None:
+        """Return the queue of a path; the log tells where there is none."""
+        queue = self.queues.table.find(host, path)
+        if queue is None:
+            self.log.write("request.no_queue", path=path, version=self.queues.version)
+        return queue
+
+    async def submit(self, spec: JobSpec, queue: JobQueue, seconds: float) -> JobAnswer:
+        """Run a job to its outcome, or refuse it; see ``JobDispatcher.submit``."""
+        refusal = self._refusal(spec)
+        if refusal:
+            self.log.write("job.refused", request=spec.id, why=refusal)
+            return JobAnswer(JobOutcome.REFUSED, refusal, CLOSED_RETRY_SECONDS)
+        known = self.jobs.jobs.get(spec.id)
+        if known is not None and known.spec != spec:
+            self.log.write("job.other_body", request=spec.id)
+            return JobAnswer(None, "another job of this id is running")
+        job = await self.jobs.submit(spec, queue, seconds)
+        return JobAnswer(job.outcome, job.why, job.retry_after)
+
+    def state(self, job_id: JobId) -> JobState | None:
+        """Return the state of a job, or ``None`` if it is not known here."""
+        job = self.jobs.jobs.get(job_id)
+        if job is None:
+            return None
+        return JobState.RUNNING if job.may_have_run else JobState.QUEUED
+
+    def cancel(self, job_id: JobId) -> bool:
+        """Cancel a job; false if it is not known here."""
+        return self.jobs.cancel(job_id)
+
+    def pending(self, queue: JobQueue) -> int:
+        """Return the number of jobs of a queue that have not begun."""
+        return self.jobs.pending_jobs(queue.name)
+
+    def _refusal(self, spec: JobSpec) -> str:
+        if self.closed:
+            return self.closed
+        if spec.unsupported:
+            return f"not served: {', '.join(spec.unsupported)}"
+        if spec.kept:
+            return "not served: a job that must be kept"
+        return ""
--- a/bergamotcourse/daemons/job_entry.py
+++ b/bergamotcourse/daemons/job_entry.py
@@ -4,6 +4,7 @@
 
 from bergamotcourse.coordination.jobs.agent_links import AgentLinks
 from bergamotcourse.coordination.jobs.job_dispatcher import JobDispatcher
+from bergamotcourse.coordination.jobs.job_service import JobService
 from bergamotcourse.coordination.jobs.peers import Peers
 from bergamotcourse.coordination.jobs.queues_in_force import QueuesInForce
 from bergamotcourse.coordination.jobs.store_watch import (
@@ -45,8 +46,8 @@
             node.address, node.mailer, node.timers, self.queues, node.log
         )
         self.peers.agents = lambda: list(self.links.links)
-        self.callers = node.platform.callers(self.queues, self.jobs, node.log)
-        self.server = server(node.settings.callers, self.callers.handle)
+        self.service = JobService(self.queues, self.jobs, node.log)
+        self.server = server(node.settings.callers, node.platform.callers(self.service))
         self.rows = EntryRows(node.store, node.rng, node.log)
         node.mailer.handler = self.handle
 
@@ -106,7 +107,7 @@
         self.jobs.ends_at = self.node.timers.now() + seconds
         self.node.log.write("entry.stopping", jobs=len(self.jobs.jobs))
         await trio.sleep(BALANCER_SECONDS)
-        self.callers.refusing = "this entry is stopping"
+        self.service.closed = "this entry is stopping"
         self.server.begin_stop()
         left = begun + seconds - trio.current_time()
         if not await wait_until(lambda: not self.jobs.jobs, left):
--- a/bergamotcourse/daemons/job_platform.py
+++ b/bergamotcourse/daemons/job_platform.py
@@ -3,24 +3,13 @@
 from collections.abc import Callable
 from typing import Protocol
 
-from bergamotcourse.coordination.event_log import EventLog
 from bergamotcourse.coordination.jobs.executor import Executor
-from bergamotcourse.coordination.jobs.job_dispatcher import JobDispatcher
-from bergamotcourse.coordination.jobs.queues_in_force import QueuesInForce
+from bergamotcourse.coordination.jobs.job_service import JobService
 from bergamotcourse.protocol.job_store import JobStore
 from bergamotcourse.protocol.upstream_orders import OrderPort, UpstreamReport
 from bergamotcourse.state.job_spec import QueueTable
 from bergamotcourse.state.node_settings import NodeSettings
-from bergamotcourse.transport.http import Handler, HttpRequest, HttpResponse
-
-
-class CallersApi(Protocol):
-    """Answers callers; ``refusing`` tells why new jobs are refused, or is empty."""
-
-    refusing: str
-
-    async def handle(self, request: HttpRequest) -> HttpResponse:
-        """Answer one request."""
+from bergamotcourse.transport.http import Handler
 
 
 class JobPlatform(Protocol):
@@ -46,10 +35,8 @@
             ValueError: It is malformed.
         """
 
-    def callers(
-        self, queues: QueuesInForce, jobs: JobDispatcher, log: EventLog
-    ) -> CallersApi:
-        """Return the API of the callers."""
+    def callers(self, service: JobService) -> Handler:
+        """Return the handler of callers' requests."""
 
     def readiness(self, is_ready: Callable[[], bool]) -> Handler:
         """Return the handler that tells whether an entry wants callers."""
--- a/bergamotcourse/platform/adapter.py
+++ b/bergamotcourse/platform/adapter.py
@@ -2,10 +2,8 @@
 
 from collections.abc import Callable
 
-from bergamotcourse.coordination.event_log import EventLog
 from bergamotcourse.coordination.jobs.executor import Executor
-from bergamotcourse.coordination.jobs.job_dispatcher import JobDispatcher
-from bergamotcourse.coordination.jobs.queues_in_force import QueuesInForce
+from bergamotcourse.coordination.jobs.job_service import JobService
 from bergamotcourse.platform.documents import decode_queues
 from bergamotcourse.platform.front import (
     CallersFront,
@@ -44,11 +42,9 @@
         """Decode a configuration."""
         return decode_queues(content)
 
-    def callers(
-        self, queues: QueuesInForce, jobs: JobDispatcher, log: EventLog
-    ) -> CallersFront:
-        """Return the API of the callers."""
-        return CallersFront(queues, jobs, log)
+    def callers(self, service: JobService) -> Handler:
+        """Return the handler of callers' requests."""
+        return CallersFront(service).handle
 
     def readiness(self, is_ready: Callable[[], bool]) -> Handler:
         """Return the handler that tells whether an entry wants callers."""
--- a/bergamotcourse/platform/front.py
+++ b/bergamotcourse/platform/front.py
@@ -6,11 +6,13 @@
 
 import msgspec
 
-from bergamotcourse.coordination.event_log import EventLog
 from bergamotcourse.coordination.jobs.executor import Executor
-from bergamotcourse.coordination.jobs.job_dispatcher import JobDispatcher
-from bergamotcourse.coordination.jobs.job_run import JobOutcome, JobRun
-from bergamotcourse.coordination.jobs.queues_in_force import QueuesInForce
+from bergamotcourse.coordination.jobs.job_run import JobOutcome
+from bergamotcourse.coordination.jobs.job_service import (
+    JobAnswer,
+    JobService,
+    JobState,
+)
 from bergamotcourse.platform.documents import decode_job, decode_report
 from bergamotcourse.state.job_spec import JobId, JobQueue
 from bergamotcourse.transport.http import HttpRequest, HttpResponse
@@ -36,75 +38,44 @@
 
 
 class CallersFront:
-    """Answers callers' requests about jobs.
+    """Answers callers' requests about jobs."""
 
-    Attributes:
-        refusing: Why new jobs are refused, or empty.
-    """
-
-    def __init__(self, queues: QueuesInForce, jobs: JobDispatcher, log: EventLog):
-        self.queues = queues
-        self.jobs = jobs
-        self.log = log
-        self.refusing = ""
+    def __init__(self, service: JobService):
+        self.service = service
 
     async def handle(self, request: HttpRequest) -> HttpResponse:
         """Answer one request."""
-        table = self.queues.table
-        if table is None:
+        if not self.service.is_configured():
             return plain_problem(503, "no configuration yet", NOT_READY_RETRY_SECONDS)
         path = urlsplit(request.target).path
-        queue = table.find(request.header("host").split(":")[0], path)
+        queue = self.service.find_queue(request.header("host").split(":")[0], path)
         if queue is None:
-            self.log.write("request.no_queue", path=path, version=table.version)
             return plain_problem(404, "no such queue")
-        job_id = path[len(queue.path_prefix) :]
-        if request.method == "GET" and not job_id:
-            return json_response(200, {"pending": self.jobs.pending_jobs(queue.name)})
-        if not JOB_ID.fullmatch(job_id):
+        name = path[len(queue.path_prefix) :]
+        if request.method == "GET" and not name:
+            return json_response(200, {"pending": self.service.pending(queue)})
+        if not JOB_ID.fullmatch(name):
             return plain_problem(400, "a job's id has 16 hexadecimal digits")
+        job_id = JobId(name)
         match request.method:
             case "POST":
                 return await self._submit(request, queue, job_id)
             case "GET":
-                return self._state(JobId(job_id))
+                return state_response(self.service.state(job_id))
             case "DELETE":
-                return self._cancel(JobId(job_id))
+                return cancel_response(self.service.cancel(job_id))
             case _:
                 return plain_problem(405, "only POST, GET and DELETE are served")
 
     async def _submit(
-        self, request: HttpRequest, queue: JobQueue, job_id: str
+        self, request: HttpRequest, queue: JobQueue, job_id: JobId
     ) -> HttpResponse:
-        if self.refusing:
-            self.log.write("job.refused", request=job_id, why=self.refusing)
-            return plain_problem(503, self.refusing, NOT_READY_RETRY_SECONDS)
         try:
             spec = decode_job(job_id, request.body)
         except ValueError as error:
-            self.log.write("job.malformed", request=job_id, detail=str(error))
             return plain_problem(400, f"malformed job: {error}")
-        if spec.kept or spec.unsupported:
-            why = ", ".join(spec.unsupported) or "a job that must be kept"
-            self.log.write("job.unsupported", request=job_id, why=why)
-            return plain_problem(503, f"not served: {why}", NOT_READY_RETRY_SECONDS)
-        known = self.jobs.jobs.get(spec.id)
-        if known is not None and known.spec != spec:
-            return plain_problem(409, "another job of this id is running")
-        job = await self.jobs.submit(spec, queue, deadline_of(request))
-        return job_response(job)
-
-    def _state(self, job_id: JobId) -> HttpResponse:
-        job = self.jobs.jobs.get(job_id)
-        if job is None:
-            return plain_problem(410, "no such job")
-        state = "running" if job.may_have_run else "queued"
-        return json_response(200, {"state": state})
-
-    def _cancel(self, job_id: JobId) -> HttpResponse:
-        if not self.jobs.cancel(job_id):
-            return plain_problem(410, "no such job")
-        return json_response(200, {})
+        answer = await self.service.submit(spec, queue, deadline_of(request))
+        return job_response(answer)
 
 
 class ReadinessFront:
@@ -168,13 +139,29 @@
     return HttpResponse(status, headers, msgspec.json.encode(body))
 
 
-def job_response(job: JobRun) -> HttpResponse:
-    """Return the answer to the caller that handed a job in."""
-    status = STATUSES[job.outcome]
+def job_response(answer: JobAnswer) -> HttpResponse:
+    """Return the response to the caller that handed a job in."""
+    if answer.outcome is None:
+        return plain_problem(409, answer.why)
+    status = STATUSES[answer.outcome]
     if status == 200:
-        return json_response(200, {"state": job.outcome.value})
-    retry_after = job.retry_after if status == 503 else None
-    return plain_problem(status, job.why, retry_after)
+        return json_response(200, {"state": answer.outcome.value})
+    retry_after = answer.retry_after if status == 503 else None
+    return plain_problem(status, answer.why, retry_after)
+
+
+def state_response(state: JobState | None) -> HttpResponse:
+    """Return the response to a caller that asks for a job's state."""
+    if state is None:
+        return plain_problem(410, "no such job")
+    return json_response(200, {"state": state.value})
+
+
+def cancel_response(cancelled: bool) -> HttpResponse:
+    """Return the response to a caller that cancels a job."""
+    if not cancelled:
+        return plain_problem(410, "no such job")
+    return json_response(200, {})
 
 
 def deadline_of(request: HttpRequest) -> float:
--- /dev/null
+++ b/bergamotcourse/tests/platform/test_front.py
@@ -0,0 +1,180 @@
+"""Callers' requests over the adapter, with a fleet behind it."""
+
+import msgspec
+import pytest
+import trio
+from hypothesis import HealthCheck, given, settings
+from hypothesis import strategies as st
+
+from bergamotcourse.coordination.event_log import EventLog
+from bergamotcourse.coordination.jobs.job_service import JobService
+from bergamotcourse.coordination.jobs.queues_in_force import QueuesInForce
+from bergamotcourse.platform.documents import decode_queues
+from bergamotcourse.platform.front import CallersFront, ReadinessFront, ReportsFront
+from bergamotcourse.tests.jobs.fleets import run_fleet
+from bergamotcourse.transport.http import HttpRequest
+
+ID = "5c0e7a21d94b36f8"
+CONFIG = {
+    "version": 3,
+    "routes": [
+        {
+            "name": "r-1",
+            "host": "one.example",
+            "path_prefix": "/a/",
+            "service": "voting",
+            "max_attempts": 2,
+            "slack_factor": 1.6,
+            "target_latency_ms": 60,
+        }
+    ],
+}
+JOB = {
+    "spec": "0.2",
+    "best_effort": True,
+    "steps": [{"count": 2, "cpu": 3100, "mem_mb": 64, "estimated_ms": 200}],
+}
+
+
+def make_front(fleet, configured=True):
+    queues = QueuesInForce(decode_queues, EventLog())
+    if configured:
+        queues.adopt(msgspec.json.encode(CONFIG), "test")
+    service = JobService(queues, fleet.entries["entry-1"].jobs, EventLog())
+    return CallersFront(service)
+
+
+async def ask(front, method, path, body=None, host="one.example", deadline="3000"):
+    headers = [("host", host), ("bergamotcourse-deadline-ms", deadline)]
+    content = body if isinstance(body, bytes) else msgspec.json.encode(body)
+    return await front.handle(HttpRequest(method, path, headers, content))
+
+
+class TestJobs:
+    def test_a_job_is_answered_when_it_has_ended(self):
+        async def main(fleet):
+            response = await ask(make_front(fleet), "POST", f"/a/{ID}", JOB)
+            assert response.status == 200
+            assert msgspec.json.decode(response.body) == {"state": "succeeded"}
+            assert len(fleet.history) == 2
+
+        run_fleet(main)
+
+    def test_its_state_and_its_cancelling(self):
+        async def main(fleet):
+            front = make_front(fleet)
+            fleet.nursery.start_soon(ask, front, "POST", f"/a/{ID}", JOB)
+            await trio.sleep(0.05)
+            state = await ask(front, "GET", f"/a/{ID}")
+            assert msgspec.json.decode(state.body) == {"state": "running"}
+            assert (await ask(front, "DELETE", f"/a/{ID}")).status == 200
+            await trio.sleep(0.2)
+            assert (await ask(front, "GET", f"/a/{ID}")).status == 410
+            assert (await ask(front, "DELETE", f"/a/{ID}")).status == 410
+            assert all(run.kind.value == "stopped" for run in fleet.history)
+
+        run_fleet(main)
+
+    def test_another_body_under_the_id_of_a_running_job_is_refused(self):
+        async def main(fleet):
+            front = make_front(fleet)
+            fleet.nursery.start_soon(ask, front, "POST", f"/a/{ID}", JOB)
+            await trio.sleep(0.05)
+            other = {**JOB, "spec": "0.3"}
+            assert (await ask(front, "POST", f"/a/{ID}", other)).status == 409
+
+        run_fleet(main)
+
+    def test_pending_jobs_are_counted(self):
+        async def main(fleet):
+            response = await ask(make_front(fleet), "GET", "/a/")
+            assert msgspec.json.decode(response.body) == {"pending": 0}
+
+        run_fleet(main)
+
+    @pytest.mark.parametrize(
+        "change", [{"best_effort": False}, {"repeat_count": 2}, {"long_running": True}]
+    )
+    def test_what_is_not_served_is_refused(self, change):
+        async def main(fleet):
+            front = make_front(fleet)
+            response = await ask(front, "POST", f"/a/{ID}", {**JOB, **change})
+            assert response.status == 503
+            assert dict(response.headers)["retry-after"]
+            assert fleet.history == []
+
+        run_fleet(main)
+
+
+class TestBadRequests:
+    @pytest.mark.parametrize(
+        "method, path, host, body, status",
+        [
+            ("POST", f"/b/{ID}", "one.example", JOB, 404),
+            ("POST", f"/a/{ID}", "two.example", JOB, 404),
+            ("POST", "/a/short", "one.example", JOB, 400),
+            ("POST", f"/a/{ID}", "one.example", {"spec": 1}, 400),
+            ("POST", f"/a/{ID}", "one.example", b"{", 400),
+            ("PUT", f"/a/{ID}", "one.example", JOB, 405),
+        ],
+    )
+    def test_get_a_clear_refusal(self, method, path, host, body, status):
+        async def main(fleet):
+            response = await ask(make_front(fleet), method, path, body, host)
+            assert response.status == status
+
+        run_fleet(main)
+
+    def test_without_a_configuration_all_is_refused(self):
+        async def main(fleet):
+            front = make_front(fleet, configured=False)
+            assert (await ask(front, "POST", f"/a/{ID}", JOB)).status == 503
+
+        run_fleet(main)
+
+    @settings(
+        max_examples=60,
+        deadline=None,
+        suppress_health_check=[HealthCheck.too_slow],
+        derandomize=True,
+    )
+    @given(
+        st.sampled_from(["GET", "POST", "DELETE", "X"]),
+        st.text(max_size=40),
+        st.binary(max_size=80),
+        st.text(max_size=8),
+    )
+    def test_nothing_a_caller_sends_breaks_the_front(self, method, path, body, wait):
+        class Fleet:
+            entries = {"entry-1": type("Entry", (), {"jobs": None})()}
+
+        async def main():
+            response = await ask(
+                make_front(Fleet), method, f"/a/{path}x", body, deadline=wait
+            )
+            assert 400 <= response.status < 500
+
+        trio.run(main)
+
+
+class TestReadiness:
+    @pytest.mark.parametrize("ready, status", [(True, 200), (False, 503)])
+    def test_is_told_by_the_status(self, ready, status):
+        front = ReadinessFront(lambda: ready)
+        response = trio.run(front.handle, HttpRequest("GET", "/bergamotcourse/ready"))
+        assert response.status == status
+
+
+class TestReports:
+    @pytest.mark.parametrize(
+        "method, path, status",
+        [
+            ("POST", "/bergamotcourse/Instances.Heartbeat/i-1", 400),
+            ("POST", "/bergamotcourse/other", 404),
+            ("GET", "/bergamotcourse/Instances.Heartbeat/i-1", 405),
+        ],
+    )
+    def test_a_malformed_one_is_refused(self, method, path, status):
+        front = ReportsFront(None, lambda: None)
+        response = trio.run(front.handle, HttpRequest(method, path, [], b"{"))
+        assert response.status == status
