--- a/bergamotcourse/coordination/jobs/contacts.py
+++ b/bergamotcourse/coordination/jobs/contacts.py
@@ -107,8 +107,8 @@
         self.entries: dict[LinkAddress, EntryContact] = {}
         self.leaving = False
         self.flush = trio.Event()
-        executor.report_end = self.report_end
-        executor.room_changed = self.room_changed
+        executor.book.report_end = self.report_end
+        executor.book.room_changed = self.room_changed
         executor.may_start = self.in_contact
         mailer.handler = self.handle
 
@@ -281,7 +281,7 @@
                 self.mailer.forget(contact.address)
             return due
         busy = contact.waiting or bool(contact.out.items)
-        busy = busy or self.executor.committed(contact.address) != NOTHING
+        busy = busy or self.executor.book.committed(contact.address) != NOTHING
         period = HEARTBEAT_SECONDS if busy else IDLE_HEARTBEAT_SECONDS
         return now - contact.sent_at >= period - TICK_SECONDS / 2
 
@@ -319,13 +319,13 @@
     def _room(self, entry: LinkAddress) -> AgentRoom:
         executor = self.executor
         life = executor.life
-        committed = executor.committed()
+        committed = executor.book.committed()
         return AgentRoom(
             service=life.report.service if life else "",
             labels=life.report.labels if life else (),
             capacity=offered_capacity(executor, committed, self.timers.now()),
             committed=committed,
-            yours=executor.committed(entry),
+            yours=executor.book.committed(entry),
             slowness=executor.health.slowness,
             on_trial=executor.health.on_trial(),
         )
--- a/bergamotcourse/coordination/jobs/executor.py
+++ b/bergamotcourse/coordination/jobs/executor.py
@@ -12,15 +12,16 @@
 from bergamotcourse.coordination.event_log import EventLog
 from bergamotcourse.coordination.jobs.lease_terms import (
     HOLD_TIMEOUT_SECONDS,
-    HOLD_WAIT_SECONDS,
     LAPSE_SECONDS,
 )
+from bergamotcourse.coordination.jobs.order_giver import RETRY_SECONDS, OrderGiver
+from bergamotcourse.coordination.jobs.run_book import RunBook
 from bergamotcourse.coordination.jobs.task_runs import PlacedRun, RunState
 from bergamotcourse.coordination.jobs.upstream_health import UpstreamHealth
 from bergamotcourse.coordination.jobs.upstream_life import UpstreamLife
 from bergamotcourse.coordination.timers import Timers
 from bergamotcourse.ids import LinkAddress
-from bergamotcourse.protocol.task_messages import Outcome, PlaceTask, TaskEnded
+from bergamotcourse.protocol.task_messages import Outcome, PlaceTask
 from bergamotcourse.protocol.upstream_orders import (
     EndedRun,
     EndKind,
@@ -28,22 +29,11 @@
     Holding,
     OrderPort,
     RunKey,
-    StartOrder,
     StartVerdict,
     UpstreamReport,
 )
 from bergamotcourse.state.resources import NOTHING, Resources
 
-START_TIMEOUT_SECONDS = 0.12
-"""An upstream beside its agent answers an order within a few milliseconds."""
-
-START_ATTEMPTS = 3
-"""An order to start may be repeated: the upstream takes a copy for the same run."""
-
-STOP_TIMEOUT_SECONDS = 0.12
-RETRY_SECONDS = 0.03
-"""Pause before an order that failed is given again."""
-
 ROOM_PAUSE_SECONDS = 0.02
 """Pause after the upstream had no room although the agent counted some."""
 
@@ -54,9 +44,6 @@
 LOOK_SECONDS = 0.5
 """Pause between two looks at an upstream that does not answer."""
 
-LOOK_AHEAD = 4
-"""Waiting runs behind the first that may go before it where only they fit."""
-
 OUTCOMES = {
     EndKind.DONE: Outcome.DONE,
     EndKind.FAILED: Outcome.FAILED,
@@ -64,17 +51,13 @@
     EndKind.LAPSED: Outcome.LOST,
 }
 
-Reporter = Callable[[LinkAddress, TaskEnded], None]
-"""Told the outcome of a run, for the entry that placed it."""
-
 
 class Executor:
     """Runs tasks on one upstream.
 
     Attributes:
         connect: Returns the port to one life of an upstream.
-        report_end: Told each outcome.
-        room_changed: Called when room at the upstream gets free or goes.
+        book: The runs.
         may_start: Asked right before an order to start whether the entry that placed
             the run is still in contact.
         born: When this process began; runs of an earlier one are over
@@ -91,15 +74,12 @@
         self.connect = connect
         self.timers = timers
         self.log = log
-        self.report_end: Reporter = lambda _entry, _ended: None
-        self.room_changed: Callable[[], None] = lambda: None
+        self.book = RunBook(log)
+        self.giver = OrderGiver(timers)
         self.may_start: Callable[[LinkAddress], bool] = lambda _entry: True
         self.born = timers.lease_now()
         self.life: UpstreamLife | None = None
         self.former: set[str] = set()
-        self.runs: dict[RunKey, PlacedRun] = {}
-        self.queue: list[PlacedRun] = []
-        self.used = NOTHING
         self.holds = 0
         self.paused_until = 0.0
         self.stopping = False
@@ -141,46 +121,40 @@
 
     def place(self, entry: LinkAddress, order: PlaceTask) -> None:
         """Take a run that an entry places."""
-        if order.key in self.runs:
+        if order.key in self.book.runs:
             return
         run = PlacedRun(order.key, entry, order, self.timers.now())
-        self.runs[order.key] = run
+        self.book.add(run)
         refusal = self.refusal()
         if refusal is not None:
             self._finish(run, Outcome.RETURNED, refusal)
             return
-        self.queue.append(run)
+        self.book.enqueue(run)
         self.pump()
         if run.state is RunState.QUEUED and self.nursery is not None:
             self.nursery.start_soon(self._return_after, run, order.patience / 1000)
 
     def withdraw(self, entry: LinkAddress, key: RunKey) -> None:
         """End a run, or bar one that is unknown here."""
-        run = self.runs.get(key)
+        run = self.book.runs.get(key)
         if run is None:
             # An order of an earlier process may still be on its way.
             run = PlacedRun(key, entry, None, self.timers.now(), RunState.STOPPING)
             run.asked_start = True
-            self.runs[key] = run
+            self.book.add(run)
             self._spawn_stop(run)
             return
         self._stop(run, "withdrawn")
 
     def withdraw_all(self, entry: LinkAddress, why: str) -> None:
         """End all runs of an entry."""
-        for run in list(self.runs.values()):
+        for run in self.book.all():
             if run.entry == entry:
                 self._stop(run, why)
 
-    def return_waiting(self, why: str) -> None:
-        """Give all runs that wait for room back to their entries."""
-        for run in list(self.queue):
-            self.queue.remove(run)
-            self._finish(run, Outcome.RETURNED, why)
-
     def stop_all(self, why: str) -> None:
         """Stop all runs."""
-        for run in list(self.runs.values()):
+        for run in self.book.all():
             self._stop(run, why)
 
     # What the agent may ask.
@@ -203,14 +177,6 @@
             return NOTHING
         return self.life.report.capacity
 
-    def committed(self, entry: LinkAddress | None = None) -> Resources:
-        """Return the needs of all runs here, or of those of one entry."""
-        total = NOTHING
-        for run in self.runs.values():
-            if entry is None or run.entry == entry:
-                total = total + run.needs
-        return total
-
     # Queue and starts.
 
     def pump(self) -> None:
@@ -219,9 +185,8 @@
             return
         if self.timers.now() < self.paused_until:
             return
-        self.queue.sort(key=PlacedRun.rank)
-        while (run := self._next_that_fits()) is not None:
-            self.queue.remove(run)
+        capacity = self.life.report.capacity
+        while (run := self.book.next_that_fits(capacity)) is not None:
             if not self.may_start(run.entry):
                 self._finish(run, Outcome.RETURNED, "contact with the entry is lost")
                 continue
@@ -237,33 +202,14 @@
                 if self.life is not None:
                     await self._hold(self.life)
 
-    def _next_that_fits(self) -> PlacedRun | None:
-        room = self.life.report.capacity - self.used
-        for run in self.queue[: LOOK_AHEAD + 1]:
-            if run.needs.fits(room):
-                return run
-        return None
-
     def _start(self, run: PlacedRun) -> None:
-        run.state = RunState.STARTING
-        run.asked_start = True
-        self.used = self.used + run.needs
+        self.book.occupy(run)
         self.nursery.start_soon(self._order_start, run, self.life)
 
     async def _order_start(self, run: PlacedRun, life: UpstreamLife) -> None:
-        verdict = StartVerdict.UNKNOWN
-        for _ in range(START_ATTEMPTS):
-            order = StartOrder(
-                run.key, run.order.payload, life.renew(self.timers.lease_now())
-            )
-            reply = await life.port.start(order, START_TIMEOUT_SECONDS)
-            life.hear_clock(reply.clock, self.timers.lease_now())
-            verdict = reply.verdict
-            if verdict is not StartVerdict.UNKNOWN or run.stop_wanted:
-                break
-        if run.key not in self.runs or life is not self.life:
-            return
-        self._take_verdict(run, verdict)
+        verdict = await self.giver.start(run, life)
+        if self.book.has(run) and life is self.life:
+            self._take_verdict(run, verdict)
 
     def _take_verdict(self, run: PlacedRun, verdict: StartVerdict) -> None:
         self.log.write(
@@ -301,18 +247,15 @@
         if run.stop_wanted:
             self._finish(run, Outcome.RETURNED, "no room")
             return
-        run.state = RunState.QUEUED
-        run.asked_start = False
-        self.used = self.used - run.needs
-        self.queue.append(run)
+        self.book.release(run)
+        self.book.enqueue(run)
         self.paused_until = self.timers.now() + ROOM_PAUSE_SECONDS
         self.nursery.start_soon(self._pump_after_pause)
 
     async def _return_after(self, run: PlacedRun, seconds: float) -> None:
         """Return a run that found no room in time: it may find some elsewhere."""
         await trio.sleep(seconds)
-        if run in self.queue:
-            self.queue.remove(run)
+        if run in self.book.queue:
             self._finish(run, Outcome.RETURNED, "no room")
 
     async def _pump_after_pause(self) -> None:
@@ -330,7 +273,6 @@
         )
         match run.state:
             case RunState.QUEUED:
-                self.queue.remove(run)
                 self._finish(run, Outcome.RETURNED, why)
             case RunState.STARTING:
                 # The task that orders the start goes on here, once it has an answer,
@@ -348,17 +290,16 @@
 
     async def _order_stop(self, run: PlacedRun) -> None:
         """Stop a run until the upstream says so, or is gone."""
-        while self.runs.get(run.key) is run and run.barred < 0:
+        while self.book.has(run) and run.barred < 0:
             life = self.life
             if life is None:
                 await trio.sleep(RETRY_SECONDS)
                 self._lapse_if_due()
                 continue
-            if await life.port.stop(run.key, STOP_TIMEOUT_SECONDS):
+            if await self.giver.stop(run, life):
                 run.barred = self.holds
                 self.wake.set()
                 return
-            await trio.sleep(RETRY_SECONDS)
 
     # Holds.
 
@@ -373,28 +314,22 @@
         life = self.life
         if life is None:
             return False
-        return life.noted > life.told or any(
-            run.asked_start for run in self.runs.values()
-        )
+        return life.noted > life.told or any(run.asked_start for run in self.book.all())
 
     async def _hold(self, life: UpstreamLife) -> None:
         self.holds += 1
         number = self.holds
-        renews = life.failed_holds < MOST_FAILED_HOLDS and bool(self.runs)
-        until = life.renew(self.timers.lease_now()) if renews else None
-        noted = life.noted
-        wait = HOLD_WAIT_SECONDS if self.runs else 0.0
-        answer = await life.port.hold(noted, until, wait, HOLD_TIMEOUT_SECONDS)
+        busy = bool(self.book.runs)
+        renews = busy and life.failed_holds < MOST_FAILED_HOLDS
+        answer = await self.giver.hold(life, renews, waits=busy)
         if life is not self.life:
             return
         match answer:
             case Holding():
                 if life.failed_holds >= MOST_FAILED_HOLDS:
                     self.log.write("upstream.answers", upstream=life.report.id)
-                    self.room_changed()
+                    self.book.room_changed()
                 life.failed_holds = 0
-                life.told = noted
-                life.hear_clock(answer.clock, self.timers.lease_now())
                 self._take_holding(life, answer, number)
             case HoldFailure.OTHER_BOOT:
                 self._end_life("another boot answers at its address")
@@ -408,8 +343,8 @@
             self.log.write(
                 "upstream.silent", upstream=life.report.id, failure=failure.value
             )
-            self.return_waiting("the upstream does not answer")
-            self.room_changed()
+            self.book.return_waiting("the upstream does not answer")
+            self.book.room_changed()
         self._lapse_if_due()
 
     def _lapse_if_due(self) -> None:
@@ -419,7 +354,7 @@
         silent = self.life is None or self.life.failed_holds >= MOST_FAILED_HOLDS
         if not silent or now < over_at:
             return
-        for run in list(self.runs.values()):
+        for run in self.book.all():
             if run.occupies:
                 self._finish(run, Outcome.LOST, "its lease lapsed")
 
@@ -430,7 +365,7 @@
                 self._take_end(ended)
         listed = {running.key: running for running in holding.running}
         now = self.timers.now()
-        for run in list(self.runs.values()):
+        for run in self.book.all():
             running = listed.get(run.key)
             if running is not None:
                 self._note_progress(run, running.progress, now)
@@ -442,7 +377,7 @@
     def _move_runs(self, now: float) -> None:
         """Stop the runs that would be done sooner elsewhere."""
         was_on_trial = self.health.on_trial()
-        for run in self.health.runs_to_move(list(self.runs.values()), now):
+        for run in self.health.runs_to_move(self.book.all(), now):
             run.moves = True
             self._stop(run, f"no progress at {run.progress:.2f}, pace {self.pace()}")
         if self.health.on_trial() and not was_on_trial:
@@ -453,8 +388,8 @@
                 pace=self.pace(),
                 slowness=round(self.health.slowness, 2),
             )
-            self.return_waiting("the upstream is on trial")
-            self.room_changed()
+            self.book.return_waiting("the upstream is on trial")
+            self.book.room_changed()
 
     def pace(self) -> float:
         """Return how many times longer than declared the running tasks take."""
@@ -466,7 +401,7 @@
             run.progress_at = now
 
     def _take_end(self, ended: EndedRun) -> None:
-        run = self.runs.get(ended.key)
+        run = self.book.runs.get(ended.key)
         if run is None:
             return
         ran = self.timers.now() - run.started_at if run.started_at else 0.0
@@ -476,26 +411,12 @@
             outcome = Outcome.MOVED
         self._finish(run, outcome, ended.kind.value, ran)
 
-    # Ends.
+    # Lives of the upstream.
 
     def _finish(
         self, run: PlacedRun, outcome: Outcome, detail: str, ran: float = 0.0
     ) -> None:
-        """Report the outcome of a run and free its room."""
-        del self.runs[run.key]
-        if run.occupies:
-            self.used = self.used - run.needs
-        self.log.write(
-            "run.end",
-            request=run.order.request if run.order else run.key.task,
-            task=run.key.task,
-            run=run.key.number,
-            outcome=outcome.value,
-            detail=detail,
-            ran_ms=round(ran * 1000),
-        )
-        self.report_end(run.entry, TaskEnded(run.key, outcome, ran, detail))
-        self.room_changed()
+        self.book.finish(run, outcome, detail, ran)
 
     def _begin_life(self, report: UpstreamReport) -> None:
         now = self.timers.lease_now()
@@ -512,12 +433,12 @@
         )
         # Shows this process's token, so that orders of an earlier one are refused.
         self.nursery.start_soon(self._look, self.life)
-        self.room_changed()
+        self.book.room_changed()
 
     async def _look(self, life: UpstreamLife) -> None:
         answer = HoldFailure.NO_ANSWER
         while life is self.life and not isinstance(answer, Holding):
-            answer = await life.port.hold(life.noted, None, 0.0, HOLD_TIMEOUT_SECONDS)
+            answer = await self.giver.look(life)
             if answer is HoldFailure.OTHER_BOOT and life is self.life:
                 self._end_life("another boot answers at its address")
             if not isinstance(answer, Holding):
@@ -529,10 +450,10 @@
         self.former.add(life.report.id)
         self.log.write("upstream.gone", upstream=life.report.id, why=why)
         self.nursery.start_soon(life.port.aclose)
-        self.return_waiting("the upstream is gone")
-        for run in list(self.runs.values()):
+        self.book.return_waiting("the upstream is gone")
+        for run in self.book.all():
             self._finish(run, Outcome.LOST, "the upstream is gone")
-        self.room_changed()
+        self.book.room_changed()
 
     def _update(self, life: UpstreamLife, report: UpstreamReport) -> None:
         began_draining = report.draining and not life.report.draining
@@ -540,8 +461,8 @@
         life.hear_clock(report.clock, self.timers.lease_now())
         if began_draining:
             self.log.write("upstream.draining", upstream=report.id)
-            self.return_waiting("the upstream is draining")
-            self.room_changed()
+            self.book.return_waiting("the upstream is draining")
+            self.book.room_changed()
 
     def _ms_since(self, time: float) -> int:
         return round((self.timers.now() - time) * 1000)
--- a/bergamotcourse/coordination/jobs/lease_terms.py
+++ b/bergamotcourse/coordination/jobs/lease_terms.py
@@ -13,9 +13,9 @@
 HEARTBEAT_SECONDS = 0.15
 """Between the messages of an agent to an entry that has tasks there."""
 
-IDLE_HEARTBEAT_SECONDS = 0.33
-"""Between the messages of an agent to an entry that has no tasks there; below
-``CONTACT_SECONDS`` so that the first placement finds a live session."""
+IDLE_HEARTBEAT_SECONDS = 0.25
+"""Between the messages of an agent to an entry that has no tasks there: a late one
+still comes within ``SILENT_SECONDS``."""
 
 ECHO_SECONDS = 0.06
 """Longest wait of an entry before it echoes a heartbeat; under half of one."""
@@ -51,7 +51,7 @@
 if the agent is lost as well. Must stay below the callers' resend time of 1.3 s."""
 
 SILENT_SECONDS = 0.4
-"""An agent not heard for so long gets no more tasks: over three heartbeats."""
+"""An agent not heard for so long gets no more tasks: two heartbeats were lost."""
 
 RESEND_SECONDS = 0.25
 """Items that were not confirmed within this are sent again: an echo and a heartbeat
--- /dev/null
+++ b/bergamotcourse/coordination/jobs/order_giver.py
@@ -0,0 +1,72 @@
+"""Orders to one life of an upstream, repeated as far as that is safe."""
+
+import trio
+
+from bergamotcourse.coordination.jobs.lease_terms import (
+    HOLD_TIMEOUT_SECONDS,
+    HOLD_WAIT_SECONDS,
+)
+from bergamotcourse.coordination.jobs.task_runs import PlacedRun
+from bergamotcourse.coordination.jobs.upstream_life import UpstreamLife
+from bergamotcourse.coordination.timers import Timers
+from bergamotcourse.protocol.upstream_orders import (
+    HoldFailure,
+    Holding,
+    StartOrder,
+    StartVerdict,
+)
+
+START_TIMEOUT_SECONDS = 0.12
+"""An upstream beside its agent answers an order within a few milliseconds."""
+
+START_ATTEMPTS = 3
+"""An order to start may be repeated: the upstream takes a copy for the same run."""
+
+STOP_TIMEOUT_SECONDS = 0.12
+
+RETRY_SECONDS = 0.03
+"""Pause before an order that failed is given again."""
+
+
+class OrderGiver:
+    """Gives orders, and keeps the clock and the lease of the upstream up to date."""
+
+    def __init__(self, timers: Timers):
+        self.timers = timers
+
+    async def start(self, run: PlacedRun, life: UpstreamLife) -> StartVerdict:
+        """Order a run to start; after ``UNKNOWN`` it may start yet."""
+        verdict = StartVerdict.UNKNOWN
+        for _ in range(START_ATTEMPTS):
+            until = life.renew(self.timers.lease_now())
+            order = StartOrder(run.key, run.order.payload, until)
+            reply = await life.port.start(order, START_TIMEOUT_SECONDS)
+            life.hear_clock(reply.clock, self.timers.lease_now())
+            verdict = reply.verdict
+            if verdict is not StartVerdict.UNKNOWN or run.stop_wanted:
+                break
+        return verdict
+
+    async def stop(self, run: PlacedRun, life: UpstreamLife) -> bool:
+        """Order a run to stop, or bar it; true once the upstream said so."""
+        if await life.port.stop(run.key, STOP_TIMEOUT_SECONDS):
+            return True
+        await trio.sleep(RETRY_SECONDS)
+        return False
+
+    async def hold(
+        self, life: UpstreamLife, renews: bool, waits: bool
+    ) -> Holding | HoldFailure:
+        """Note ends, renew the lease if wanted, and wait a little for news."""
+        until = life.renew(self.timers.lease_now()) if renews else None
+        wait = HOLD_WAIT_SECONDS if waits else 0.0
+        noted = life.noted
+        answer = await life.port.hold(noted, until, wait, HOLD_TIMEOUT_SECONDS)
+        if isinstance(answer, Holding):
+            life.told = noted
+            life.hear_clock(answer.clock, self.timers.lease_now())
+        return answer
+
+    async def look(self, life: UpstreamLife) -> Holding | HoldFailure:
+        """Ask what runs, renewing nothing; shows this process's token."""
+        return await life.port.hold(life.noted, None, 0.0, HOLD_TIMEOUT_SECONDS)
--- a/bergamotcourse/coordination/jobs/trial.py
+++ b/bergamotcourse/coordination/jobs/trial.py
@@ -17,6 +17,6 @@
     health = executor.health
     if not health.on_trial():
         return capacity
-    if executor.runs or now < health.trial_at:
+    if executor.book.runs or now < health.trial_at:
         return committed
     return TRIAL_NEEDS if TRIAL_NEEDS.fits(capacity) else capacity
--- a/bergamotcourse/daemons/job_agent.py
+++ b/bergamotcourse/daemons/job_agent.py
@@ -74,14 +74,14 @@
     async def stop(self) -> None:
         """Finish what runs, or stop it for others to run, then end."""
         executor = self.executor
-        self.node.log.write("agent.stopping", runs=len(executor.runs))
+        self.node.log.write("agent.stopping", runs=len(executor.book.runs))
         executor.stopping = True
-        executor.return_waiting("the agent is stopping")
+        executor.book.return_waiting("the agent is stopping")
         self.contacts.tell_all()
         seconds = self.node.settings.stop_seconds - STOP_RUNS_SECONDS
-        if not await wait_until(lambda: not executor.runs, seconds):
+        if not await wait_until(lambda: not executor.book.runs, seconds):
             executor.stop_all("the agent is stopping")
-            await wait_until(lambda: not executor.runs, LAST_OUTCOMES_SECONDS)
+            await wait_until(lambda: not executor.book.runs, LAST_OUTCOMES_SECONDS)
         await wait_until(self.contacts.all_confirmed, LAST_OUTCOMES_SECONDS)
-        if not executor.runs:
+        if not executor.book.runs:
             self.contacts.say_farewell()
--- a/bergamotcourse/tests/jobs/test_guards.py
+++ b/bergamotcourse/tests/jobs/test_guards.py
@@ -138,11 +138,11 @@
 
     def test_barring_what_a_former_process_may_have_started(self, monkeypatch):
         def withdraw(self, entry, key):
-            run = self.runs.get(key)
+            run = self.book.runs.get(key)
             if run is not None:
                 self._stop(run, "withdrawn")
                 return
-            self.report_end(entry, TaskEnded(key, Outcome.RETURNED))
+            self.book.report_end(entry, TaskEnded(key, Outcome.RETURNED))
 
         monkeypatch.setattr(Executor, "withdraw", withdraw)
         assert run_fleet(agent_restarted)
