--- a/bergamotcourse/coordination/jobs/agent_links.py
+++ b/bergamotcourse/coordination/jobs/agent_links.py
@@ -13,6 +13,7 @@
     OVER_SECONDS,
     SILENT_SECONDS,
 )
+from bergamotcourse.coordination.jobs.send_soon import SendSoon
 from bergamotcourse.coordination.timers import Timers
 from bergamotcourse.ids import LinkAddress
 from bergamotcourse.protocol.mailer import Mailer
@@ -59,7 +60,6 @@
     sent_at: float = -1e9
     echoed: bool = True
     over: bool = False
-    dirty: bool = False
     room: AgentRoom | None = None
     out: Outgoing[PlaceTask | WithdrawTask] = field(default_factory=Outgoing)
     incoming: Incoming = field(default_factory=Incoming)
@@ -122,12 +122,12 @@
         self.on_room: Callable[[AgentLink], None] = lambda _link: None
         self.on_settled: Callable[[], None] = lambda: None
         self.is_waiting: Callable[[], bool] = lambda: False
-        self.flush = trio.Event()
+        self.soon = SendSoon(self._send_to)
 
     async def run(self) -> None:
         """Send what is due until cancelled."""
         async with trio.open_nursery() as nursery:
-            nursery.start_soon(self._flush_dirty)
+            nursery.start_soon(self.soon.run)
             while True:
                 self._tick()
                 await trio.sleep(TICK_SECONDS)
@@ -250,21 +250,15 @@
         return not link.echoed and now - link.sent_at >= ECHO_SECONDS - TICK_SECONDS
 
     def _mark(self, link: AgentLink) -> None:
-        link.dirty = True
-        self.flush.set()
-
-    async def _flush_dirty(self) -> None:
-        """Send once for all that became due in one turn of the scheduler."""
-        while True:
-            await self.flush.wait()
-            self.flush = trio.Event()
-            for link in list(self.links.values()):
-                if link.dirty and not link.over:
-                    self._send(link)
+        self.soon.mark(link.address)
+
+    def _send_to(self, address: LinkAddress) -> None:
+        link = self.links.get(address)
+        if link is not None and not link.over:
+            self._send(link)
 
     def _send(self, link: AgentLink) -> None:
         now = self.timers.now()
-        link.dirty = False
         link.sent_at = now
         link.echoed = True
         first, items = link.out.take(now)
--- a/bergamotcourse/coordination/jobs/contacts.py
+++ b/bergamotcourse/coordination/jobs/contacts.py
@@ -17,6 +17,7 @@
     HEARTBEAT_SECONDS,
     IDLE_HEARTBEAT_SECONDS,
 )
+from bergamotcourse.coordination.jobs.send_soon import SendSoon
 from bergamotcourse.coordination.jobs.trial import offered_capacity
 from bergamotcourse.coordination.timers import Timers
 from bergamotcourse.ids import LinkAddress
@@ -62,7 +63,6 @@
         heard_at: When it last answered, or became known.
         waiting: It wants to be told of room.
         told_at: When it was last told of room.
-        dirty: Something is to be sent at once.
     """
 
     address: LinkAddress
@@ -73,7 +73,6 @@
     sent_at: float = -1e9
     waiting: bool = False
     told_at: float = 0.0
-    dirty: bool = False
     out: Outgoing[TaskEnded] = field(default_factory=Outgoing)
     incoming: Incoming = field(default_factory=Incoming)
 
@@ -106,7 +105,7 @@
         self.log = log
         self.entries: dict[LinkAddress, EntryContact] = {}
         self.leaving = False
-        self.flush = trio.Event()
+        self.soon = SendSoon(self._send_to)
         executor.book.report_end = self.report_end
         executor.book.room_changed = self.room_changed
         executor.may_start = self.in_contact
@@ -115,7 +114,7 @@
     async def run(self) -> None:
         """Send what is due until cancelled."""
         async with trio.open_nursery() as nursery:
-            nursery.start_soon(self._flush_dirty)
+            nursery.start_soon(self.soon.run)
             while True:
                 self._tick()
                 await trio.sleep(TICK_SECONDS)
@@ -286,21 +285,15 @@
         return now - contact.sent_at >= period - TICK_SECONDS / 2
 
     def _mark(self, contact: EntryContact) -> None:
-        contact.dirty = True
-        self.flush.set()
-
-    async def _flush_dirty(self) -> None:
-        """Send once for all that became due in one turn of the scheduler."""
-        while True:
-            await self.flush.wait()
-            self.flush = trio.Event()
-            for contact in list(self.entries.values()):
-                if contact.dirty and not self.leaving:
-                    self._send(contact)
+        self.soon.mark(contact.address)
+
+    def _send_to(self, address: LinkAddress) -> None:
+        contact = self.entries.get(address)
+        if contact is not None and not self.leaving:
+            self._send(contact)
 
     def _send(self, contact: EntryContact) -> None:
         now = self.timers.now()
-        contact.dirty = False
         contact.sent_at = now
         first, items = contact.out.take(now)
         turn = AgentTurn(
