--- /dev/null
+++ b/bergamotcourse/tests/platform/standins.py
@@ -0,0 +1,155 @@
+"""Stand-ins that speak the platform's published protocol over HTTP."""
+
+from urllib.parse import parse_qs, urlsplit
+
+import msgspec
+import trio
+
+from bergamotcourse.protocol.upstream_orders import (
+    HoldFailure,
+    RunKey,
+    StartOrder,
+    StartVerdict,
+)
+from bergamotcourse.standins.order_upstream import OrderUpstream
+from bergamotcourse.state.job_spec import TaskName
+from bergamotcourse.transport.http import HttpRequest, HttpResponse
+from bergamotcourse.transport.http_client import HttpClient
+
+REASONS = {
+    StartVerdict.FENCED: "fence",
+    StartVerdict.STALE: "old",
+    StartVerdict.TOO_LATE: "late",
+    StartVerdict.NO_ROOM: "room",
+}
+
+
+def json_answer(status, body):
+    headers = [("content-type", "application/json")]
+    return HttpResponse(status, headers, msgspec.json.encode(body))
+
+
+class Rows:
+    """Keeps rows; ``status`` refuses all calls."""
+
+    def __init__(self):
+        self.rows = {}
+        self.version = 0
+        self.status = 200
+
+    async def handle(self, request):
+        if self.status != 200:
+            return HttpResponse(self.status)
+        parts = urlsplit(request.target)
+        query = {key: value[0] for key, value in parse_qs(parts.query).items()}
+        if parts.path.endswith("rows-tx"):
+            self.transact(msgspec.json.decode(request.body))
+            return self.answer([])
+        after = int(query.get("after", 0))
+        rows = [
+            {"table": table, "part": "", "key": key, "value": value, "ver": version}
+            for (table, key), (value, version) in sorted(self.rows.items())
+            if table == query["table"] and version > after
+        ]
+        return self.answer(rows)
+
+    def transact(self, call):
+        self.version += 1
+        for row in call.get("put", []):
+            self.rows[row["table"], row["key"]] = (row["value"], self.version)
+        for row in call.get("remove", []):
+            self.rows.pop((row["table"], row["key"]), None)
+
+    def answer(self, rows):
+        body = {"rows": rows, "has_more": False, "ver": self.version, "now_ms": 1}
+        return HttpResponse(200, [], msgspec.json.encode(body))
+
+
+class HttpWorker:
+    """A worker: takes orders over HTTP, and reports itself to the agent beside it."""
+
+    def __init__(self, upstream: OrderUpstream):
+        self.upstream = upstream
+        self.address = ""
+
+    async def handle(self, request):
+        body = msgspec.json.decode(request.body)
+        if request.header("bergamotcourse-expected-instance") != self.upstream.id:
+            return HttpResponse(421)
+        match request.target.rpartition("/")[2]:
+            case "run-start":
+                return self.start(body)
+            case "run-stop":
+                key = RunKey(TaskName(body["task"]), body["run"])
+                stopped = self.upstream.stop(key, body["fencing_token"])
+                return self.answer(200 if stopped else 409)
+            case "hold":
+                return await self.hold(body)
+        return HttpResponse(404)
+
+    def start(self, body):
+        key = RunKey(TaskName(body["task"]), body["run"])
+        order = StartOrder(key, body["spec"], body["until_ms"] / 1000)
+        verdict = self.upstream.start(order, body["fencing_token"]).verdict
+        if verdict is StartVerdict.STARTED:
+            return self.answer(200)
+        return self.answer(409, reason=REASONS[verdict])
+
+    async def hold(self, body):
+        until = body.get("until_ms")
+        noted = body.get("observed", 0)
+        token = body["fencing_token"]
+        until = None if until is None else until / 1000
+        holding = self.upstream.look(noted, until, token)
+        if isinstance(holding, HoldFailure):
+            return self.answer(409, reason="fence")
+        if not holding.ended and body.get("wait_ms"):
+            with trio.move_on_after(body["wait_ms"] / 1000):
+                await self.upstream.changed.park()
+            holding = self.upstream.look(noted, None, token)
+        running = [
+            [run.key.task, run.key.number, "", round(run.progress * 100)]
+            for run in holding.running
+        ]
+        ended = [
+            [end.number, end.key.task, end.key.number, end.kind.value, ""]
+            for end in holding.ended
+        ]
+        return self.answer(200, running=running, ended=ended)
+
+    def answer(self, status, **fields):
+        return json_answer(status, {"clock_ms": self.clock_ms(), **fields})
+
+    def clock_ms(self):
+        return int(self.upstream.clock() * 1000)
+
+    async def report(self, host, port, seconds):
+        """Report itself again and again."""
+        client = HttpClient(host, port)
+        try:
+            await self.report_with(client, seconds)
+        finally:
+            with trio.CancelScope(shield=True):
+                await client.aclose()
+
+    async def report_with(self, client, seconds):
+        sequence = 0
+        while True:
+            sequence += 1
+            body = {
+                "service": self.upstream.service,
+                "address": self.address,
+                "zone": "north",
+                "version": "v1",
+                "slots": 8,
+                "state": "draining" if self.upstream.draining else "ready",
+                "cold_remaining_ms": 0,
+                "capacity": {"cpu": self.upstream.capacity.cpu, "mem_mb": 65536},
+                "labels": ["a", "r1"],
+                "clock_ms": self.clock_ms(),
+                "sequence": sequence,
+            }
+            target = f"/bergamotcourse/Instances.Heartbeat/{self.upstream.id}"
+            request = HttpRequest("POST", target, [], msgspec.json.encode(body))
+            await client.request(request, 1.0)
+            await trio.sleep(seconds)
--- a/bergamotcourse/tests/platform/test_store.py
+++ b/bergamotcourse/tests/platform/test_store.py
@@ -1,9 +1,7 @@
 """The store's calls, against an HTTP server that keeps rows as the store does."""
 
 import base64
-from urllib.parse import parse_qs, urlsplit
 
-import msgspec
 import trio
 
 from bergamotcourse.ids import LinkAddress, ServiceName, UpstreamId, ZoneName
@@ -12,48 +10,12 @@
 from bergamotcourse.protocol.upstream_orders import UpstreamReport
 from bergamotcourse.state.node_settings import Endpoint
 from bergamotcourse.state.resources import Resources
-from bergamotcourse.transport.http import HttpResponse
+from bergamotcourse.tests.platform.standins import Rows
 from bergamotcourse.transport.http_server import HttpServer
 
 ENTRY = LinkAddress("tcp://10.0.0.1:7720")
 
 
-class Rows:
-    """Keeps rows; ``status`` refuses all calls."""
-
-    def __init__(self):
-        self.rows = {}
-        self.version = 0
-        self.status = 200
-
-    async def handle(self, request):
-        if self.status != 200:
-            return HttpResponse(self.status)
-        parts = urlsplit(request.target)
-        query = {key: value[0] for key, value in parse_qs(parts.query).items()}
-        if parts.path.endswith("rows-tx"):
-            self.transact(msgspec.json.decode(request.body))
-            return self.answer([])
-        after = int(query.get("after", 0))
-        rows = [
-            {"table": table, "part": "", "key": key, "value": value, "ver": version}
-            for (table, key), (value, version) in sorted(self.rows.items())
-            if table == query["table"] and version > after
-        ]
-        return self.answer(rows)
-
-    def transact(self, call):
-        self.version += 1
-        for row in call.get("put", []):
-            self.rows[row["table"], row["key"]] = (row["value"], self.version)
-        for row in call.get("remove", []):
-            self.rows.pop((row["table"], row["key"]), None)
-
-    def answer(self, rows):
-        body = {"rows": rows, "has_more": False, "ver": self.version, "now_ms": 1}
-        return HttpResponse(200, [], msgspec.json.encode(body))
-
-
 def with_store(rows, use):
     async def main():
         server = HttpServer("127.0.0.1", 0, rows.handle)
