--- a/bergamotcourse/daemons/job_process.py
+++ b/bergamotcourse/daemons/job_process.py
@@ -13,7 +13,7 @@
 from bergamotcourse.daemons.job_metrics import JobMetrics
 from bergamotcourse.daemons.job_platform import JobPlatform
 from bergamotcourse.daemons.json_log import JsonLog
-from bergamotcourse.daemons.process import serve_http
+from bergamotcourse.daemons.process import ignore_stops_at_the_end, serve_http
 from bergamotcourse.errors import BergamotcourseError
 from bergamotcourse.ids import LinkAddress
 from bergamotcourse.protocol.mailer import Mailer
@@ -160,6 +160,7 @@
     node = daemon.node
     stopping = False
     signals = (signal.SIGTERM, signal.SIGINT, signal.SIGHUP)
+    ignore_stops_at_the_end()
     with trio.open_signal_receiver(*signals) as received:
         async for number in received:
             node.log.write("process.signal", signal=signal.Signals(number).name)
--- a/bergamotcourse/daemons/process.py
+++ b/bergamotcourse/daemons/process.py
@@ -44,6 +44,7 @@
     """
     interrupts = 0
     stopping = False
+    ignore_stops_at_the_end()
     async with trio.open_nursery() as nursery:
         with trio.open_signal_receiver(signal.SIGTERM, signal.SIGINT) as signals:
             async for number in signals:
@@ -55,6 +56,15 @@
                     nursery.start_soon(_stop, stop, scope)
 
 
+def ignore_stops_at_the_end() -> None:
+    """Let SIGTERM do nothing once nobody receives it any more.
+
+    A receiver of signals gives back what it found; the default would kill a process
+    that has stopped gracefully and is about to end.
+    """
+    signal.signal(signal.SIGTERM, signal.SIG_IGN)
+
+
 async def _stop(stop: Callable[[], Awaitable[None]], scope: trio.CancelScope) -> None:
     await stop()
     scope.cancel()
--- a/bergamotcourse/tests/daemons/test_stops.py
+++ b/bergamotcourse/tests/daemons/test_stops.py
@@ -71,6 +71,16 @@
         assert replies[0].status == 200, fleet.logs()
         assert fleet.terminate("entry-1") == 0
 
+    @pytest.mark.parametrize("name", ["entry-1", "agent-1"])
+    def test_more_signals_change_nothing_to_the_very_end(self, fleet, name):
+        """One that comes while the process ends must not kill it."""
+        start_all(fleet)
+        process = fleet.processes[name]
+        while process.poll() is None:
+            process.terminate()
+            time.sleep(0.002)
+        assert process.returncode == 0, fleet.logs()
+
     @pytest.mark.parametrize("name", ["entry-1", "agent-1"])
     def test_what_outlasts_the_wait_gets_its_outcome(self, fleet, name):
         start_all(fleet, drain_seconds=0.3)
--- a/bergamotcourse/tests/platform/test_processes.py
+++ b/bergamotcourse/tests/platform/test_processes.py
@@ -213,6 +213,18 @@
 
         trio.run(main)
 
+    def test_more_signals_change_nothing_to_the_very_end(self, tmp_path):
+        async def main():
+            async with running(tmp_path) as cluster:
+                for role in ("agent", "entry"):
+                    process = cluster.processes[role]
+                    while process.poll() is None:
+                        process.send_signal(signal.SIGTERM)
+                        await trio.sleep(0.002)
+                    assert process.returncode == 0
+
+        trio.run(main)
+
     def test_a_killed_agent_finds_its_upstream_again(self, tmp_path):
         async def main():
             async with running(tmp_path) as cluster:
