End connections with their next answer from the signal on; serve what still comes

Now each answer from the signal on ends its connection, and later jobs are served or refused by the time that is left.

Found by the new test: the HTTP client put connections that it had closed back into its pool, and dropped them as stale at the next request. Tests of the pool were red before.

--- a/bergamotcourse/coordination/jobs/job_service.py
+++ b/bergamotcourse/coordination/jobs/job_service.py
@@ -9,8 +9,8 @@
 from bergamotcourse.coordination.jobs.queues_in_force import QueuesInForce
 from bergamotcourse.state.job_spec import JobId, JobQueue, JobSpec
 
-CLOSED_RETRY_SECONDS = 1.0
-"""Callers of an entry that takes no jobs find another one within this."""
+UNSERVED_RETRY_SECONDS = 1.0
+"""For callers of a kind of job that is not served here."""
 
 
 class JobState(Enum):
@@ -35,17 +35,12 @@
 
 
 class JobService:
-    """Takes jobs into the queues in force.
-
-    Attributes:
-        closed: Why new jobs are refused, or empty.
-    """
+    """Takes jobs into the queues in force."""
 
     def __init__(self, queues: QueuesInForce, jobs: JobDispatcher, log: EventLog):
         self.queues = queues
         self.jobs = jobs
         self.log = log
-        self.closed = ""
 
     def is_configured(self) -> bool:
         """Return whether a configuration is in force."""
@@ -63,7 +58,7 @@
         refusal = self._refusal(spec)
         if refusal:
             self.log.write("job.refused", request=spec.id, why=refusal)
-            return JobAnswer(JobOutcome.REFUSED, refusal, CLOSED_RETRY_SECONDS)
+            return JobAnswer(JobOutcome.REFUSED, refusal, UNSERVED_RETRY_SECONDS)
         known = self.jobs.jobs.get(spec.id)
         if known is not None and known.spec != spec:
             self.log.write("job.other_body", request=spec.id)
@@ -87,8 +82,6 @@
         return self.jobs.pending_jobs(queue.name)
 
     def _refusal(self, spec: JobSpec) -> str:
-        if self.closed:
-            return self.closed
         if spec.unsupported:
             return f"not served: {', '.join(spec.unsupported)}"
         if spec.kept:
--- a/bergamotcourse/daemons/job_entry.py
+++ b/bergamotcourse/daemons/job_entry.py
@@ -105,9 +105,9 @@
         begun = trio.current_time()
         self.stopping = True
         self.jobs.ends_at = self.node.timers.now() + seconds
+        self.server.begin_leave()
         self.node.log.write("entry.stopping", jobs=len(self.jobs.jobs))
         await trio.sleep(BALANCER_SECONDS)
-        self.service.closed = "this entry is stopping"
         self.server.begin_stop()
         left = begun + seconds - trio.current_time()
         if not await wait_until(lambda: not self.jobs.jobs, left):
--- a/bergamotcourse/tests/platform/test_processes.py
+++ b/bergamotcourse/tests/platform/test_processes.py
@@ -45,6 +45,14 @@
         return sock.getsockname()[1]
 
 
+def job(number, work, tasks=3):
+    step = {"count": tasks, "cpu": 3100, "mem_mb": 64, "estimated_ms": work * 1000}
+    body = {"spec": str(work), "best_effort": True, "steps": [step]}
+    headers = [("host", "one.example"), ("bergamotcourse-deadline-ms", "20000")]
+    target = f"/a/{number:016x}"
+    return HttpRequest("POST", target, headers, msgspec.json.encode(body))
+
+
 class Cluster:
     """The processes, and what surrounds them."""
 
@@ -121,12 +129,11 @@
             await trio.sleep(0.05)
 
     async def submit(self, number, work, tasks=3):
-        step = {"count": tasks, "cpu": 3100, "mem_mb": 64, "estimated_ms": work * 1000}
-        body = {"spec": str(work), "best_effort": True, "steps": [step]}
-        headers = [("host", "one.example"), ("bergamotcourse-deadline-ms", "20000")]
-        target = f"/a/{number:016x}"
-        request = HttpRequest("POST", target, headers, msgspec.json.encode(body))
-        return (await self.ask("front", request, 25.0)).ok
+        return (await self.ask("front", job(number, work, tasks), 25.0)).ok
+
+    async def until_told(self, role, kind):
+        while not any(event["event"] == kind for event in self.events(role)):
+            await trio.sleep(0.02)
 
     async def until_ended(self, role):
         while self.processes[role].poll() is None:
@@ -194,6 +201,20 @@
 
         trio.run(main)
 
+    def test_a_stopping_entry_serves_open_connections_once_more(self, tmp_path):
+        async def main():
+            async with running(tmp_path) as cluster:
+                client = HttpClient(ENTRY, cluster.ports["front"])
+                before = (await client.request(job(5, 0.05), 25.0)).ok
+                assert len(client.idle) == 1
+                cluster.processes["entry"].send_signal(signal.SIGTERM)
+                await cluster.until_told("entry", "entry.stopping")
+                after = (await client.request(job(6, 0.05), 25.0)).ok
+                assert (before.status, after.status) == (200, 200)
+                assert not client.idle
+
+        trio.run(main)
+
     def test_a_planned_stop_of_the_agent_finishes_what_runs(self, tmp_path):
         async def main():
             async with running(tmp_path) as cluster:
--- a/bergamotcourse/tests/transport/test_http_client.py
+++ b/bergamotcourse/tests/transport/test_http_client.py
@@ -69,7 +69,9 @@
 
             result = await client.request(request, TIMEOUT)
             nursery.cancel_scope.cancel()
-        return result, await is_closed(dialer.servers[0])
+        closed = await is_closed(dialer.servers[0])
+        assert len(client.idle) == (0 if closed else 1)
+        return result, closed
 
     return run_virtual(script)
 
--- a/bergamotcourse/tests/transport/test_http_server.py
+++ b/bergamotcourse/tests/transport/test_http_server.py
@@ -7,7 +7,11 @@
 from trio.testing import MockClock, lockstep_stream_pair, memory_stream_pair
 
 from bergamotcourse.transport.http import HttpRequest, HttpResponse
-from bergamotcourse.transport.http_connection import PIPELINE_BYTES, ServerConnection
+from bergamotcourse.transport.http_connection import (
+    PIPELINE_BYTES,
+    STOP_GRACE_SECONDS,
+    ServerConnection,
+)
 from bergamotcourse.transport.http_server import HttpServer, ServerLimits
 from bergamotcourse.transport.http_wire import RECEIVE_BYTES
 
@@ -321,6 +325,33 @@
         assert events == ["started", "cancelled"]
 
 
+class TestLeave:
+    def test_idle_connection_is_served_once_more(self):
+        async def script(server):
+            client = await dial(server)
+            await client.send_all(GET)
+            assert b"connection: close" not in await read_until(client, b"GET /a ")
+            server.begin_leave()
+            await trio.sleep(STOP_GRACE_SECONDS * 2)
+            await client.send_all(GET)
+            answer = await read_all(client)
+            assert statuses(answer) == [200]
+            assert b"connection: close" in answer
+            await client.aclose()
+
+        serve(script, echo, ServerLimits())
+
+    def test_new_connection_is_served_once(self):
+        async def script(server):
+            server.begin_leave()
+            client = await dial(server)
+            await client.send_all(GET + GET)
+            assert statuses(await read_all(client)) == [200]
+            await client.aclose()
+
+        serve(script, echo, ServerLimits())
+
+
 class TestStop:
     @pytest.mark.parametrize(("delay", "expected"), [(0.2, [200]), (0.3, [])])
     def test_idle_connection_has_a_grace(self, delay, expected):
--- a/bergamotcourse/transport/http_client.py
+++ b/bergamotcourse/transport/http_client.py
@@ -155,7 +155,8 @@
         finally:
             if not reusable:
                 await trio.aclose_forcefully(connection.stream)
-        self._put(connection)
+        if reusable:
+            self._put(connection)
         return response
 
     async def _take(self) -> ClientConnection:
--- a/bergamotcourse/transport/http_connection.py
+++ b/bergamotcourse/transport/http_connection.py
@@ -40,7 +40,8 @@
         stream: Any stream of trio whose sending half can be closed.
         peer: The client's address.
         number: Number of the connection.
-        stopping: The next answer is the last.
+        leaving: The next answer is the last.
+        stopping: The connection closes soon, also without an answer.
         received: Bytes read and not yet parsed.
         ended: The client sends no more.
     """
@@ -58,6 +59,7 @@
         self.limits = limits
         self.peer = peer
         self.number = number
+        self.leaving = False
         self.stopping = False
         self.received = b""
         self.ended = False
@@ -81,6 +83,7 @@
 
     def begin_stop(self) -> None:
         """Close the connection after its current request, or soon if it has none."""
+        self.leaving = True
         self.stopping = True
         if self._idle is not None:
             deadline = trio.current_time() + STOP_GRACE_SECONDS
@@ -230,7 +233,7 @@
         return True
 
     def _encode(self, response: HttpResponse) -> bytes:
-        close = response.close or self.stopping
+        close = response.close or self.leaving
         try:
             head = response_head(response, close)
         except ValueError:
--- a/bergamotcourse/transport/http_server.py
+++ b/bergamotcourse/transport/http_server.py
@@ -47,6 +47,7 @@
         handler: Answers the requests.
         limits: Bounds on what clients may take.
         connections: The connections being served.
+        leaving: ``begin_leave`` or ``begin_stop`` was called.
         stopping: ``begin_stop`` was called.
     """
 
@@ -62,6 +63,7 @@
         self.handler = handler
         self.limits = limits or ServerLimits()
         self.connections: set[ServerConnection] = set()
+        self.leaving = False
         self.stopping = False
         self._refusals = 0
         self._accepting = trio.CancelScope()
@@ -92,8 +94,19 @@
         """Return once the server listens; ``port`` is then the real one."""
         await self._opened.wait()
 
+    def begin_leave(self) -> None:
+        """Serve on, but end each connection with its next answer.
+
+        A client that is told so with an answer opens its next connection elsewhere;
+        one whose connection is closed instead may have a request on its way.
+        """
+        self.leaving = True
+        for connection in self.connections:
+            connection.leaving = True
+
     def begin_stop(self) -> None:
         """Accept no more; let requests in progress finish, then close."""
+        self.begin_leave()
         self.stopping = True
         self._accepting.cancel()
         for connection in self.connections:
@@ -142,6 +155,7 @@
             stream, self.handler, self.limits, peer_of(stream), next(connection_numbers)
         )
         self.connections.add(connection)
+        connection.leaving = self.leaving
         if self.stopping:
             connection.begin_stop()
         nursery.start_soon(self._serve, connection)
