Ask a silent upstream until it answers; a fault soak on the real programs

Test red first: test_that_was_silent_is_used_again.

The soak (tests/platform/soak): entries and agents as processes, workers and the store as stand-ins, a proxy before each listener but our own link; kills, pauses, stops and signals in series, delays, silences, resets, a failing store, workers that are slow, hang, fail, drain and come back, configurations in quick succession. Stand-ins note the exact end of a run, so that a late look is no overlap.

--- a/bergamotcourse/coordination/jobs/executor.py
+++ b/bergamotcourse/coordination/jobs/executor.py
@@ -314,7 +314,10 @@
         life = self.life
         if life is None:
             return False
-        return life.noted > life.told or any(run.asked_start for run in self.book.all())
+        # One that was silent is asked until it answers, also when nothing runs there
+        # any more: without an answer it would be offered no task again.
+        unsure = life.failed_holds > 0 or life.noted > life.told
+        return unsure or any(run.asked_start for run in self.book.all())
 
     async def _hold(self, life: UpstreamLife) -> None:
         self.holds += 1
--- a/bergamotcourse/tests/jobs/test_single_run.py
+++ b/bergamotcourse/tests/jobs/test_single_run.py
@@ -189,6 +189,22 @@
 
         run_fleet(main)
 
+    @pytest.mark.parametrize("seconds", [0.3, 1.0, 3.0])
+    def test_that_was_silent_is_used_again(self, seconds):
+        async def main(fleet):
+            fleet.nursery.start_soon(fleet.submit, "entry-1", job("a", work=1.0))
+            await trio.sleep(0.3)
+            fleet.cut_upstreams.add("agent-1")
+            await trio.sleep(seconds)
+            fleet.cut_upstreams.clear()
+            await trio.sleep(2.0)
+            answer = await fleet.submit("entry-1", job("b"))
+            assert answer.outcome is JobOutcome.SUCCEEDED
+            await trio.sleep(1.0)
+            assert fleet.upstreams["agent-1"].ended == []
+
+        run_fleet(main, agents=1)
+
     def test_that_answers_late_or_never(self):
         async def main(fleet):
             for upstream in fleet.upstreams.values():
--- /dev/null
+++ b/bergamotcourse/tests/platform/soak/proxied_cluster.py
@@ -0,0 +1,35 @@
+"""A cluster whose connections pass through proxies."""
+
+from dataclasses import dataclass, field
+
+from bergamotcourse.tests.platform.cluster import Cluster
+from bergamotcourse.tests.platform.soak.proxy import Proxy
+
+PROXY_HOST = "127.0.0.1"
+
+
+@dataclass
+class ProxiedCluster(Cluster):
+    """A cluster with a proxy before each listener but the link of our processes.
+
+    The processes tell each other their own addresses, so the link has no proxy: it is
+    disturbed by pausing and killing its ends.
+
+    Attributes:
+        proxies: By what they lead to: ``store of entry-1``, ``front of entry-1``,
+            ``worker of agent-1``, ``reports to agent-1``.
+    """
+
+    proxies: dict[str, Proxy] = field(default_factory=dict)
+
+    async def path_to(self, name: str, address) -> tuple[str, int]:
+        """Start a proxy and return its address."""
+        proxy = Proxy(PROXY_HOST, address)
+        self.proxies[name] = proxy
+        await self.nursery.start(proxy.run)
+        return proxy.host, proxy.port
+
+    async def open_fronts(self) -> None:
+        """Start the proxies that callers use."""
+        for node in self.entries():
+            await self.path_to(f"front of {node.name}", node.addresses["front"])
--- /dev/null
+++ b/bergamotcourse/tests/platform/soak/run.py
@@ -0,0 +1,99 @@
+"""One soak: a cluster, callers, faults, then calm, then the verdict."""
+
+import random
+from dataclasses import dataclass
+from pathlib import Path
+
+import trio
+
+from bergamotcourse.tests.platform.cluster import ask, make_job
+from bergamotcourse.tests.platform.soak.callers import Callers
+from bergamotcourse.tests.platform.soak.faults import Faults
+from bergamotcourse.tests.platform.soak.proxied_cluster import ProxiedCluster
+from bergamotcourse.tests.platform.soak.records import Records
+from bergamotcourse.tests.platform.soak.verdict import find_violations, summarise
+
+ENTRIES = 2
+AGENTS = 3
+CALLERS = 8
+
+RECOVERY_SECONDS = 90.0
+"""Bound of the calm afterwards, generous for a busy machine."""
+
+LAST_JOB = 1 << 40
+"""Numbers of jobs handed in after the faults."""
+
+FIRST_NET = 64
+"""Soaks that run at the same time have addresses of their own."""
+
+
+@dataclass
+class Result:
+    """What a soak found."""
+
+    seed: int
+    violations: list[str]
+    summary: dict[str, dict[str, int]]
+
+
+async def run_soak(seed: int, seconds: float, folder: Path) -> Result:
+    """Run the soak of a seed."""
+    async with trio.open_nursery() as nursery:
+        net = f"127.{FIRST_NET + seed % 100}.{seed // 100 % 250}"
+        cluster = ProxiedCluster(folder, nursery, net)
+        try:
+            result = await soak(cluster, seed, seconds)
+        finally:
+            cluster.end()
+            nursery.cancel_scope.cancel()
+    return result
+
+
+async def soak(cluster: ProxiedCluster, seed: int, seconds: float) -> Result:
+    """Run the soak of a seed on a cluster."""
+    rng = random.Random(seed)
+    records = Records()
+    await cluster.start(ENTRIES, AGENTS)
+    await cluster.open_fronts()
+    callers = Callers(cluster, records, rng)
+    async with trio.open_nursery() as nursery:
+        nursery.start_soon(callers.run, CALLERS)
+        await Faults(cluster, records, rng).run(seconds)
+        late = await recover(cluster, records)
+        callers.stopping = True
+    late += await settle(cluster)
+    violations = find_violations(records, cluster.history) + late
+    return Result(seed, violations, summarise(records))
+
+
+async def recover(cluster: ProxiedCluster, records: Records) -> list[str]:
+    """Wait until each entry serves the last configuration; return what did not."""
+    late = []
+    number = LAST_JOB
+    for node in cluster.entries():
+        with trio.move_on_after(RECOVERY_SECONDS) as scope:
+            while True:
+                number += 1
+                request = make_job(number, 0.05, 2, prefix=cluster.last_prefix())
+                records.tasks[request.target.rpartition("/")[2]] = 2
+                answer = await ask(node.addresses["front"], request)
+                if answer.is_ok() and answer.ok.status == 200:
+                    break
+                await trio.sleep(0.1)
+        if scope.cancelled_caught:
+            late.append(f"{node.name} does not serve after the faults")
+    return late
+
+
+async def settle(cluster: ProxiedCluster) -> list[str]:
+    """Wait until nothing runs and all ends are noted; return where not."""
+    upstreams = [worker.upstream for worker in cluster.workers.values()]
+    with trio.move_on_after(RECOVERY_SECONDS):
+        while any(one.running or one.ended for one in upstreams):
+            await trio.sleep(0.05)
+        return []
+    return [
+        f"{one.id} has {len(one.running)} runs and {len(one.ended)} ends not noted"
+        for one in upstreams
+        if one.running or one.ended
+    ]
--- a/bergamotcourse/tests/platform/standins.py
+++ b/bergamotcourse/tests/platform/standins.py
@@ -73,6 +73,8 @@
         self.address = ""
 
     async def handle(self, request):
+        if self.upstream.down:
+            await trio.sleep_forever()
         body = msgspec.json.decode(request.body)
         if request.header("bergamotcourse-expected-instance") != self.upstream.id:
             return HttpResponse(421)
@@ -93,6 +95,8 @@
         verdict = self.upstream.start(order, body["fencing_token"]).verdict
         if verdict is StartVerdict.STARTED:
             return self.answer(200)
+        if verdict is StartVerdict.UNHEALTHY:
+            return self.answer(503)
         return self.answer(409, reason=REASONS[verdict])
 
     async def hold(self, body):
@@ -135,6 +139,9 @@
     async def report_with(self, client, seconds):
         sequence = 0
         while True:
+            if self.upstream.down:
+                await trio.sleep(seconds)
+                continue
             sequence += 1
             body = {
                 "service": self.upstream.service,
--- a/bergamotcourse/virtual/job_fleet.py
+++ b/bergamotcourse/virtual/job_fleet.py
@@ -14,7 +14,12 @@
 from bergamotcourse.ids import LinkAddress, ServiceName
 from bergamotcourse.protocol.mailer import Mailer
 from bergamotcourse.protocol.task_messages import AgentTurn, Farewell
-from bergamotcourse.standins.order_upstream import OrderUpstream, Run, StandInPort
+from bergamotcourse.standins.order_upstream import (
+    OrderUpstream,
+    Run,
+    StandInPort,
+    overlaps,
+)
 from bergamotcourse.state.job_spec import JobId, JobQueue, JobSpec, StepSpec
 from bergamotcourse.state.resources import Resources
 from bergamotcourse.transport.memory_link import MemoryNetwork
@@ -289,15 +294,7 @@
 
     def overlaps(self) -> list[tuple[Run, Run]]:
         """Return the pairs of runs of one task that ran at the same time."""
-        found = []
-        by_task: dict[str, list[Run]] = {}
-        for run in self.history:
-            for other in by_task.setdefault(run.key.task, []):
-                ended = other.ended_at
-                if ended is None or ended > run.started_at:
-                    found.append((other, run))
-            by_task[run.key.task].append(run)
-        return found
+        return overlaps(self.history)
 
     def logged(self, kind: str) -> list[dict]:
         """Return the fields of all events of a kind."""
