Note the ends of an earlier process's runs; turn jobs away while short of processor

Test red first: test_back_without_work_it_notes_the_ends_from_before.

A share of the jobs, by how late periodic calls are, is now turned away undecoded.

--- a/bergamotcourse/coordination/jobs/executor.py
+++ b/bergamotcourse/coordination/jobs/executor.py
@@ -317,6 +317,8 @@
         # One that was silent is asked until it answers, also when nothing runs there
         # any more: without an answer it would be offered no task again.
         unsure = life.failed_holds > 0 or life.noted > life.told
+        # Runs of an earlier process end too, and their ends are to be noted.
+        unsure = unsure or life.listed > 0
         return unsure or any(run.asked_start for run in self.book.all())
 
     async def _hold(self, life: UpstreamLife) -> None:
@@ -324,7 +326,7 @@
         number = self.holds
         busy = bool(self.book.runs)
         renews = busy and life.failed_holds < MOST_FAILED_HOLDS
-        answer = await self.giver.hold(life, renews, waits=busy)
+        answer = await self.giver.hold(life, renews, waits=busy or life.listed > 0)
         if life is not self.life:
             return
         match answer:
@@ -367,6 +369,7 @@
                 life.noted = ended.number
                 self._take_end(ended)
         listed = {running.key: running for running in holding.running}
+        life.listed = len(listed)
         now = self.timers.now()
         for run in self.book.all():
             running = listed.get(run.key)
@@ -441,11 +444,15 @@
     async def _look(self, life: UpstreamLife) -> None:
         answer = HoldFailure.NO_ANSWER
         while life is self.life and not isinstance(answer, Holding):
+            number = self.holds
             answer = await self.giver.look(life)
             if answer is HoldFailure.OTHER_BOOT and life is self.life:
                 self._end_life("another boot answers at its address")
             if not isinstance(answer, Holding):
                 await trio.sleep(RETRY_SECONDS)
+        if life is self.life:
+            self._take_holding(life, answer, number)
+            self.wake.set()
 
     def _end_life(self, why: str) -> None:
         life = self.life
--- a/bergamotcourse/coordination/jobs/job_service.py
+++ b/bergamotcourse/coordination/jobs/job_service.py
@@ -6,12 +6,17 @@
 from bergamotcourse.coordination.event_log import EventLog
 from bergamotcourse.coordination.jobs.job_dispatcher import JobDispatcher
 from bergamotcourse.coordination.jobs.job_run import JobOutcome
+from bergamotcourse.coordination.jobs.processor_lag import ProcessorLag
 from bergamotcourse.coordination.jobs.queues_in_force import QueuesInForce
 from bergamotcourse.state.job_spec import JobId, JobQueue, JobSpec
 
 UNSERVED_RETRY_SECONDS = 1.0
 """For callers of a kind of job that is not served here."""
 
+SHORT_RETRY_SECONDS = 1.0
+"""For callers of an entry that is short of processor time; the shortest that the header
+can say, as the balancer may send them to another entry."""
+
 
 class JobState(Enum):
     """The state of a job whose outcome is open."""
@@ -37,9 +42,16 @@
 class JobService:
     """Takes jobs into the queues in force."""
 
-    def __init__(self, queues: QueuesInForce, jobs: JobDispatcher, log: EventLog):
+    def __init__(
+        self,
+        queues: QueuesInForce,
+        jobs: JobDispatcher,
+        processor: ProcessorLag,
+        log: EventLog,
+    ):
         self.queues = queues
         self.jobs = jobs
+        self.processor = processor
         self.log = log
 
     def is_configured(self) -> bool:
@@ -53,6 +65,18 @@
             self.log.write("request.no_queue", path=path, version=self.queues.version)
         return queue
 
+    def turn_away(self, job_id: JobId) -> JobAnswer | None:
+        """Return the refusal of a job that is not even decoded, or ``None``.
+
+        A job that is known here is not turned away: it may have begun.
+        """
+        if job_id in self.jobs.jobs or not self.processor.turns_away():
+            return None
+        why = "this entry is short of processor time"
+        lag_ms = round(self.processor.lag * 1000)
+        self.log.write("job.refused", request=job_id, why=why, lag_ms=lag_ms)
+        return JobAnswer(JobOutcome.REFUSED, why, SHORT_RETRY_SECONDS)
+
     async def submit(self, spec: JobSpec, queue: JobQueue, seconds: float) -> JobAnswer:
         """Run a job to its outcome, or refuse it; see ``JobDispatcher.submit``."""
         refusal = self._refusal(spec)
--- a/bergamotcourse/coordination/jobs/upstream_life.py
+++ b/bergamotcourse/coordination/jobs/upstream_life.py
@@ -20,6 +20,7 @@
         told: The last ``noted`` that it has confirmed.
         lapses_at: When all runs there are over unless the lease is renewed.
         failed_holds: Renewals in a row that had no answer.
+        listed: Runs that it listed last, those of earlier processes too.
     """
 
     report: UpstreamReport
@@ -29,6 +30,7 @@
     noted: int = 0
     told: int = 0
     failed_holds: int = 0
+    listed: int = 0
 
     def hear_clock(self, clock: float | None, now: float) -> None:
         """Take the upstream's clock from an answer."""
--- a/bergamotcourse/daemons/job_entry.py
+++ b/bergamotcourse/daemons/job_entry.py
@@ -6,6 +6,7 @@
 from bergamotcourse.coordination.jobs.job_dispatcher import JobDispatcher
 from bergamotcourse.coordination.jobs.job_service import JobService
 from bergamotcourse.coordination.jobs.peers import Peers
+from bergamotcourse.coordination.jobs.processor_lag import ProcessorLag
 from bergamotcourse.coordination.jobs.queues_in_force import QueuesInForce
 from bergamotcourse.coordination.jobs.store_watch import (
     ConfigFeed,
@@ -46,7 +47,8 @@
             node.address, node.mailer, node.timers, self.queues, node.log
         )
         self.peers.agents = lambda: list(self.links.links)
-        self.service = JobService(self.queues, self.jobs, node.log)
+        processor = ProcessorLag(node.timers, node.log, node.rng)
+        self.service = JobService(self.queues, self.jobs, processor, node.log)
         self.server = server(node.settings.callers, node.platform.callers(self.service))
         self.rows = EntryRows(node.store, node.rng, node.log)
         node.mailer.handler = self.handle
--- a/bergamotcourse/platform/front.py
+++ b/bergamotcourse/platform/front.py
@@ -70,6 +70,9 @@
     async def _submit(
         self, request: HttpRequest, queue: JobQueue, job_id: JobId
     ) -> HttpResponse:
+        refusal = self.service.turn_away(job_id)
+        if refusal is not None:
+            return job_response(refusal)
         try:
             spec = decode_job(job_id, request.body)
         except ValueError as error:
--- a/bergamotcourse/tests/jobs/test_single_run.py
+++ b/bergamotcourse/tests/jobs/test_single_run.py
@@ -103,6 +103,21 @@
 
         run_fleet(main)
 
+    @pytest.mark.parametrize(("away", "before"), [(0.05, 0), (2.0, 4)])
+    def test_back_without_work_it_notes_the_ends_from_before(self, away, before):
+        async def main(fleet):
+            fleet.nursery.start_soon(fleet.submit, "entry-1", job("a", 4, 1.0))
+            await trio.sleep(0.3)
+            fleet.agents["agent-1"].kill()
+            fleet.entries["entry-1"].kill()
+            await trio.sleep(away)
+            assert len(fleet.upstreams["agent-1"].ended) == before
+            fleet.start_agent("agent-1")
+            await trio.sleep(2.0)
+            assert fleet.upstreams["agent-1"].ended == []
+
+        run_fleet(main, agents=1)
+
     @pytest.mark.parametrize("seconds", [0.2, 0.5, 0.9, 2.0])
     def test_frozen(self, seconds):
         async def main(fleet):
--- /dev/null
+++ b/bergamotcourse/tests/platform/soak/test_soak.py
@@ -0,0 +1,18 @@
+"""Short soaks, and those that found a fault."""
+
+import pytest
+import trio
+
+from bergamotcourse.tests.platform.soak.run import run_soak
+
+FAULTY = {
+    12: "an agent whose upstream was silent never asked it again",
+}
+"""Seeds that found a fault, with its cause."""
+
+
+class TestSoak:
+    @pytest.mark.parametrize("seed", [1, *FAULTY])
+    def test_keeps_the_promises(self, seed, tmp_path):
+        result = trio.run(run_soak, seed, 5.0, tmp_path)
+        assert result.violations == []
--- /dev/null
+++ b/bergamotcourse/tests/platform/soak/test_verdict.py
@@ -0,0 +1,83 @@
+"""Each promise that the soak checks, kept and not kept."""
+
+from bergamotcourse.ids import UpstreamId
+from bergamotcourse.protocol.upstream_orders import EndKind, RunKey
+from bergamotcourse.standins.order_upstream import Run
+from bergamotcourse.state.job_spec import TaskName
+from bergamotcourse.state.resources import Resources
+from bergamotcourse.tests.platform.soak.records import Attempt, Harm, Records, Seen
+from bergamotcourse.tests.platform.soak.verdict import find_violations
+
+JOB = "0000000000000001"
+
+
+def make_run(number, started_at, ended_at, kind=EndKind.DONE, task=0):
+    key = RunKey(TaskName(f"{JOB}.0.0.{task}"), number)
+    run = Run(key, UpstreamId("i-1"), started_at, 1.0, 0.0, Resources(3100, 64, 0))
+    run.ended_at = ended_at
+    run.kind = kind
+    return run
+
+
+def make_records(*seen, tasks=1, harms=()):
+    records = Records(tasks={JOB: tasks}, harms=list(harms))
+    for number, one in enumerate(seen):
+        sent_at = number * 5.0
+        records.attempts.append(Attempt(JOB, "entry-1", sent_at, sent_at + 3.0, one))
+    return records
+
+
+class TestRuns:
+    def test_one_after_the_other_is_right(self):
+        history = [make_run(1, 0.0, 1.0, EndKind.LAPSED), make_run(2, 1.0, 2.0)]
+        assert find_violations(make_records(Seen.SUCCEEDED), history) == []
+
+    def test_two_at_once(self):
+        history = [make_run(1, 0.0, 1.0), make_run(2, 0.9, 2.0)]
+        [line] = find_violations(make_records(Seen.SUCCEEDED), history)
+        assert line.startswith("overlap")
+
+    def test_one_that_never_ended(self):
+        history = [make_run(1, 0.0, None), make_run(2, 0.9, 2.0)]
+        [line] = find_violations(make_records(Seen.SUCCEEDED), history)
+        assert line.startswith("overlap")
+
+    def test_one_that_nobody_asked_for(self):
+        lines = find_violations(Records(), [make_run(1, 0.0, 1.0)])
+        assert lines == [f"nobody asked for {JOB}"]
+
+
+class TestAnswers:
+    def test_a_refusal_of_what_ran_is_false(self):
+        records = make_records(Seen.REFUSED)
+        assert find_violations(records, []) == []
+        [line] = find_violations(records, [make_run(1, 0.0, 1.0)])
+        assert line.startswith("refused, and ran")
+
+    def test_after_a_cut_a_refusal_says_nothing_of_the_first_attempt(self):
+        harm = Harm("entry-1", 0.0, 1.0)
+        records = make_records(Seen.CUT, Seen.REFUSED, harms=[harm])
+        assert find_violations(records, [make_run(1, 0.0, 1.0)]) == []
+
+    def test_a_success_needs_each_task_done(self):
+        records = make_records(Seen.SUCCEEDED, tasks=2)
+        both = [make_run(1, 0.0, 1.0), make_run(1, 0.0, 1.0, task=1)]
+        assert find_violations(records, both) == []
+        [line] = find_violations(records, both[:1])
+        assert line.startswith("succeeded with 1 of 2")
+
+    def test_a_cut_without_a_fault_near(self):
+        history = [make_run(1, 0.0, 1.0)]
+        [line] = find_violations(make_records(Seen.CUT), history)
+        assert line.startswith("cut")
+        far = [Harm("entry-1", 10.0, 15.0), Harm("entry-2", 0.0, 5.0)]
+        assert find_violations(make_records(Seen.CUT, harms=far), history)
+        near = [Harm("entry-1", 2.0, 7.0)]
+        assert not find_violations(make_records(Seen.CUT, harms=near), history)
+
+    def test_a_cut_before_anything_began_is_an_idle_connection_that_closed(self):
+        assert find_violations(make_records(Seen.CUT), []) == []
+
+    def test_a_status_that_no_caller_should_get(self):
+        [line] = find_violations(make_records(Seen.ODD), [])
+        assert line.startswith("status")
--- a/bergamotcourse/tests/platform/test_front.py
+++ b/bergamotcourse/tests/platform/test_front.py
@@ -8,7 +8,9 @@
 
 from bergamotcourse.coordination.event_log import EventLog
 from bergamotcourse.coordination.jobs.job_service import JobService
+from bergamotcourse.coordination.jobs.processor_lag import ProcessorLag
 from bergamotcourse.coordination.jobs.queues_in_force import QueuesInForce
+from bergamotcourse.coordination.timers import Timers
 from bergamotcourse.platform.documents import decode_queues
 from bergamotcourse.platform.front import CallersFront, ReadinessFront, ReportsFront
 from bergamotcourse.tests.jobs.fleets import run_fleet
@@ -40,7 +42,9 @@
     queues = QueuesInForce(decode_queues, EventLog())
     if configured:
         queues.adopt(msgspec.json.encode(CONFIG), "test")
-    service = JobService(queues, fleet.entries["entry-1"].jobs, EventLog())
+    jobs = fleet.entries["entry-1"].jobs
+    processor = ProcessorLag(Timers(), EventLog())
+    service = JobService(queues, jobs, processor, EventLog())
     return CallersFront(service)
 
 
@@ -50,6 +54,30 @@
     return await front.handle(HttpRequest(method, path, headers, content))
 
 
+class TestShortOfProcessor:
+    def test_a_job_is_turned_away_unread(self):
+        async def main(fleet):
+            front = make_front(fleet)
+            front.service.processor.share = 1.0
+            response = await ask(front, "POST", f"/a/{ID}", b"not read")
+            assert response.status == 503
+            assert ("retry-after", "1") in response.headers
+            assert fleet.history == []
+
+        run_fleet(main)
+
+    def test_one_that_is_known_here_is_not(self):
+        async def main(fleet):
+            front = make_front(fleet)
+            fleet.nursery.start_soon(ask, front, "POST", f"/a/{ID}", JOB)
+            await trio.sleep(0.1)
+            front.service.processor.share = 1.0
+            response = await ask(front, "POST", f"/a/{ID}", JOB)
+            assert response.status == 200
+
+        run_fleet(main)
+
+
 class TestJobs:
     def test_a_job_is_answered_when_it_has_ended(self):
         async def main(fleet):
