--- a/bergamotcourse/coordination/jobs/agent_links.py
+++ b/bergamotcourse/coordination/jobs/agent_links.py
@@ -18,6 +18,7 @@
 from bergamotcourse.ids import LinkAddress
 from bergamotcourse.protocol.mailer import Mailer
 from bergamotcourse.protocol.task_messages import (
+    NEVER_RAN,
     AgentRoom,
     AgentTurn,
     EntryTurn,
@@ -48,6 +49,7 @@
         over: The runs of this session were given up here; it is not used any more.
         placed: The runs that have no outcome yet, with what the dispatcher keeps.
         pending: Needs of the runs in ``placed``.
+        former: Runs that were placed at an earlier process of the agent.
     """
 
     address: LinkAddress
@@ -66,6 +68,7 @@
     placed: dict[RunKey, Any] = field(default_factory=dict)
     needs: dict[RunKey, Resources] = field(default_factory=dict)
     pending: Resources = NOTHING
+    former: set[RunKey] = field(default_factory=set)
 
     def load(self) -> Resources:
         """Return the needs of all runs there, with those just placed."""
@@ -91,6 +94,7 @@
     def drop(self, key: RunKey) -> Any:
         """Forget a run and return its owner, or ``None``."""
         owner = self.placed.pop(key, None)
+        self.former.discard(key)
         if owner is not None:
             self.pending = self.pending - self.needs.pop(key)
         return owner
@@ -204,6 +208,8 @@
         if link.session:
             # The connection may be dead without a sign; what it holds is void.
             self.mailer.forget(link.address)
+        if turn.boot != link.boot:
+            link.former = set(link.placed)
         link.boot = turn.boot
         link.session = turn.session
         link.echo_ms = 0
@@ -215,6 +221,10 @@
         self._mark(link)
 
     def _end(self, link: AgentLink, ended: TaskEnded) -> None:
+        if ended.key in link.former and ended.outcome in NEVER_RAN:
+            # The agent knows only what its present process has not started.
+            why = "its agent has restarted"
+            ended = TaskEnded(ended.key, Outcome.LOST, 0.0, why)
         owner = link.drop(ended.key)
         if owner is not None:
             self.on_end(owner, link, ended)
--- a/bergamotcourse/coordination/jobs/executor.py
+++ b/bergamotcourse/coordination/jobs/executor.py
@@ -37,6 +37,10 @@
 ROOM_PAUSE_SECONDS = 0.02
 """Pause after the upstream had no room although the agent counted some."""
 
+MOST_FORMER_ENDS = 1000
+"""Ends of a former process's runs that are kept: an upstream lists what ended while
+nobody asked, within two seconds or so, a few hundred at most."""
+
 MOST_FAILED_HOLDS = 3
 """After so many renewals without an answer the lease is left to lapse: each might have
 extended it, so the runs would never be known to be over."""
@@ -60,6 +64,7 @@
         book: The runs.
         may_start: Asked right before an order to start whether the entry that placed
             the run is still in contact.
+        former_ends: Ends of runs that this process has not started, the oldest first.
         born: When this process began; runs of an earlier one are over
             ``LAPSE_SECONDS`` after it.
         stopping: Nothing new is taken.
@@ -80,6 +85,7 @@
         self.born = timers.lease_now()
         self.life: UpstreamLife | None = None
         self.former: set[str] = set()
+        self.former_ends: dict[RunKey, EndKind] = {}
         self.holds = 0
         self.paused_until = 0.0
         self.stopping = False
@@ -138,14 +144,22 @@
         """End a run, or bar one that is unknown here."""
         run = self.book.runs.get(key)
         if run is None:
-            # An order of an earlier process may still be on its way.
-            run = PlacedRun(key, entry, None, self.timers.now(), RunState.STOPPING)
-            run.asked_start = True
-            self.book.add(run)
-            self._spawn_stop(run)
+            self._withdraw_unknown(entry, key)
             return
         self._stop(run, "withdrawn")
 
+    def _withdraw_unknown(self, entry: LinkAddress, key: RunKey) -> None:
+        """End a run that this process has not started, but a former one may have."""
+        run = PlacedRun(key, entry, None, self.timers.now(), RunState.STOPPING)
+        run.asked_start = True
+        self.book.add(run)
+        kind = self.former_ends.pop(key, None)
+        if kind is not None:
+            self._finish(run, OUTCOMES[kind], kind.value)
+            return
+        # An order of the former process may still be on its way.
+        self._spawn_stop(run)
+
     def withdraw_all(self, entry: LinkAddress, why: str) -> None:
         """End all runs of an entry."""
         for run in self.book.all():
@@ -409,6 +423,7 @@
     def _take_end(self, ended: EndedRun) -> None:
         run = self.book.runs.get(ended.key)
         if run is None:
+            self._keep_end(ended)
             return
         ran = self.timers.now() - run.started_at if run.started_at else 0.0
         self.health.ended(ended.kind, run, ran, self.timers.now())
@@ -417,6 +432,12 @@
             outcome = Outcome.MOVED
         self._finish(run, outcome, ended.kind.value, ran)
 
+    def _keep_end(self, ended: EndedRun) -> None:
+        """Keep the end of a former process's run, for the entry that will ask."""
+        self.former_ends[ended.key] = ended.kind
+        if len(self.former_ends) > MOST_FORMER_ENDS:
+            del self.former_ends[next(iter(self.former_ends))]
+
     # Lives of the upstream.
 
     def _finish(
--- a/bergamotcourse/coordination/jobs/job_dispatcher.py
+++ b/bergamotcourse/coordination/jobs/job_dispatcher.py
@@ -17,7 +17,12 @@
 from bergamotcourse.coordination.jobs.placement import Wish, choose
 from bergamotcourse.coordination.jobs.work_estimates import WorkEstimates
 from bergamotcourse.coordination.timers import Timers
-from bergamotcourse.protocol.task_messages import Outcome, PlaceTask, TaskEnded
+from bergamotcourse.protocol.task_messages import (
+    NEVER_RAN,
+    Outcome,
+    PlaceTask,
+    TaskEnded,
+)
 from bergamotcourse.state.job_spec import JobId, JobQueue, JobSpec
 
 ANSWER_SECONDS = 0.06
@@ -29,8 +34,6 @@
 """A run that finds no room after all comes back after this: two entries may have
 counted on the same room, and there may be some elsewhere."""
 
-NEVER_RAN = (Outcome.RETURNED, Outcome.STALE)
-
 REFUSAL_SECONDS = 1.0
 """Callers who were refused for want of room may come back after this."""
 
--- a/bergamotcourse/coordination/jobs/order_giver.py
+++ b/bergamotcourse/coordination/jobs/order_giver.py
@@ -35,17 +35,18 @@
         self.timers = timers
 
     async def start(self, run: PlacedRun, life: UpstreamLife) -> StartVerdict:
-        """Order a run to start; after ``UNKNOWN`` it may start yet."""
-        verdict = StartVerdict.UNKNOWN
-        for _ in range(START_ATTEMPTS):
+        """Order a run to start; after ``UNKNOWN`` it may start yet, or have run."""
+        for attempt in range(START_ATTEMPTS):
             until = life.renew(self.timers.lease_now())
             order = StartOrder(run.key, run.order.payload, until)
             reply = await life.port.start(order, START_TIMEOUT_SECONDS)
             life.hear_clock(reply.clock, self.timers.lease_now())
-            verdict = reply.verdict
-            if verdict is not StartVerdict.UNKNOWN or run.stop_wanted:
-                break
-        return verdict
+            if reply.verdict is StartVerdict.STARTED or run.stop_wanted:
+                return reply.verdict
+            if reply.verdict is not StartVerdict.UNKNOWN:
+                # An earlier copy may have been carried out, whatever becomes of this.
+                return StartVerdict.UNKNOWN if attempt else reply.verdict
+        return StartVerdict.UNKNOWN
 
     async def stop(self, run: PlacedRun, life: UpstreamLife) -> bool:
         """Order a run to stop, or bar it; true once the upstream said so."""
--- a/bergamotcourse/daemons/job_entry.py
+++ b/bergamotcourse/daemons/job_entry.py
@@ -14,7 +14,7 @@
     UpstreamRows,
 )
 from bergamotcourse.daemons.job_process import Node, link_address, server
-from bergamotcourse.daemons.process import serve_http, wait_until
+from bergamotcourse.daemons.process import serve_http
 from bergamotcourse.ids import LinkAddress
 from bergamotcourse.protocol.message import Message
 from bergamotcourse.protocol.task_messages import AgentTurn, Farewell
@@ -111,9 +111,10 @@
         self.node.log.write("entry.stopping", jobs=len(self.jobs.jobs))
         await trio.sleep(BALANCER_SECONDS)
         self.server.begin_stop()
-        left = begun + seconds - trio.current_time()
-        if not await wait_until(lambda: not self.jobs.jobs, left):
-            self.jobs.give_up_all("this entry is stopping")
+        # Not only for the jobs that are known: a request may just be coming in.
+        with trio.move_on_after(begun + seconds - trio.current_time()):
+            await self.server.wait_stopped()
+        self.jobs.give_up_all("this entry is stopping")
         with trio.move_on_after(ANSWER_SECONDS / 2):
             await self.server.wait_stopped()
         self.peers.say_farewell()
--- a/bergamotcourse/protocol/task_messages.py
+++ b/bergamotcourse/protocol/task_messages.py
@@ -57,6 +57,9 @@
     """It never started: the upstream knows a run of that number or a later one."""
 
 
+NEVER_RAN = (Outcome.RETURNED, Outcome.STALE)
+
+
 class TaskEnded(Item, frozen=True):
     """The final outcome of a placed run.
 
--- /dev/null
+++ b/bergamotcourse/tests/jobs/test_order_giver.py
@@ -0,0 +1,60 @@
+"""Orders that are repeated, and what their answers say together."""
+
+import pytest
+
+from bergamotcourse.coordination.jobs.order_giver import START_ATTEMPTS, OrderGiver
+from bergamotcourse.coordination.jobs.task_runs import PlacedRun, RunState
+from bergamotcourse.coordination.jobs.upstream_life import UpstreamLife
+from bergamotcourse.coordination.timers import Timers
+from bergamotcourse.ids import LinkAddress
+from bergamotcourse.protocol.task_messages import PlaceTask
+from bergamotcourse.protocol.upstream_orders import RunKey, StartReply, StartVerdict
+from bergamotcourse.state.job_spec import TaskName
+from bergamotcourse.state.resources import Resources
+from bergamotcourse.virtual.clock import run_virtual
+
+KEY = RunKey(TaskName("task-1"), 1)
+UNKNOWN = StartVerdict.UNKNOWN
+
+
+class Port:
+    """Answers orders to start as told."""
+
+    def __init__(self, verdicts):
+        self.verdicts = list(verdicts)
+
+    async def start(self, order, timeout):
+        return StartReply(self.verdicts.pop(0))
+
+
+def order_start(*verdicts):
+    """Return what a start comes to, and how many answers were not asked for."""
+
+    async def main():
+        port = Port(verdicts)
+        order = PlaceTask(KEY, "job", "", Resources(3100), 100, 0.4, 15)
+        run = PlacedRun(KEY, LinkAddress("tcp://entry-1"), order, 0.0)
+        run.state = RunState.STARTING
+        life = UpstreamLife(None, port, 0.0, 0.0)
+        return await OrderGiver(Timers()).start(run, life), len(port.verdicts)
+
+    return run_virtual(main, 1)
+
+
+class TestStart:
+    @pytest.mark.parametrize("verdict", [v for v in StartVerdict if v is not UNKNOWN])
+    def test_the_first_answer_holds(self, verdict):
+        assert order_start(verdict, UNKNOWN) == (verdict, 1)
+
+    def test_without_an_answer_it_is_repeated(self):
+        assert order_start(UNKNOWN, StartVerdict.STARTED) == (StartVerdict.STARTED, 0)
+        assert order_start(*[UNKNOWN] * START_ATTEMPTS) == (UNKNOWN, 0)
+
+    @pytest.mark.parametrize(
+        "verdict",
+        [v for v in StartVerdict if v not in (UNKNOWN, StartVerdict.STARTED)],
+    )
+    def test_a_refused_copy_does_not_say_that_the_first_was_not_carried_out(
+        self, verdict
+    ):
+        assert order_start(UNKNOWN, verdict)[0] is UNKNOWN
--- a/bergamotcourse/tests/jobs/test_single_run.py
+++ b/bergamotcourse/tests/jobs/test_single_run.py
@@ -118,6 +118,27 @@
 
         run_fleet(main, agents=1)
 
+    @pytest.mark.parametrize("away", [0.05, 0.5, 1.0])
+    def test_back_it_cannot_say_that_what_was_placed_before_has_not_run(self, away):
+        async def main(fleet):
+            answers = []
+
+            async def submit():
+                answers.append(await fleet.submit("entry-1", job("a", 4, 1.0)))
+
+            fleet.nursery.start_soon(submit)
+            await trio.sleep(0.3)
+            assert len(fleet.history) == 4
+            fleet.agents["agent-1"].kill()
+            fleet.upstreams["agent-1"].draining = True
+            await trio.sleep(away)
+            fleet.start_agent("agent-1")
+            while not answers:
+                await trio.sleep(0.1)
+            assert answers[0].outcome is JobOutcome.TIMED_OUT
+
+        run_fleet(main, agents=1)
+
     @pytest.mark.parametrize("seconds", [0.2, 0.5, 0.9, 2.0])
     def test_frozen(self, seconds):
         async def main(fleet):
--- a/bergamotcourse/tests/platform/test_processes.py
+++ b/bergamotcourse/tests/platform/test_processes.py
@@ -9,6 +9,7 @@
 import msgspec
 import trio
 
+from bergamotcourse.daemons.job_entry import BALANCER_SECONDS
 from bergamotcourse.tests.platform.cluster import Cluster, make_job, submit
 from bergamotcourse.transport.http_client import HttpClient
 
@@ -80,6 +81,30 @@
 
         trio.run(main)
 
+    def test_a_stopping_entry_ends_after_its_last_connection(self, tmp_path):
+        """A request of which a part had come is read, run and answered."""
+
+        async def main():
+            async with running(tmp_path) as (cluster, entry, agent):
+                request = make_job(7, 0.8)
+                head = "".join(
+                    f"{name}: {value}\r\n" for name, value in request.headers
+                )
+                size = f"content-length: {len(request.body)}\r\n\r\n"
+                start = f"POST {request.target} HTTP/1.1\r\n{head}{size}"
+                stream = await trio.open_tcp_stream(*entry.addresses["front"])
+                await stream.send_all(start.encode())
+                entry.send(signal.SIGTERM)
+                await entry.until_told("entry.stopping")
+                await trio.sleep(BALANCER_SECONDS + 0.2)
+                await stream.send_all(request.body)
+                answer = b"".join([data async for data in stream])
+                await stream.aclose()
+                assert answer.startswith(b"HTTP/1.1 200 ")
+                assert await entry.until_ended() == 0
+
+        trio.run(main)
+
     def test_a_planned_stop_of_the_agent_finishes_what_runs(self, tmp_path):
         async def main():
             async with running(tmp_path) as (cluster, entry, agent):
--- a/bergamotcourse/virtual/job_fleet.py
+++ b/bergamotcourse/virtual/job_fleet.py
@@ -206,6 +206,7 @@
         history: All runs at all upstreams.
         events: What the processes logged: time, process, kind, fields.
         cut_upstreams: Agents that do not reach their upstream.
+        work_of: Tells the stand-ins the needs and the work of a task's payload.
     """
 
     def __init__(
@@ -218,6 +219,7 @@
         self.events: list[tuple] = []
         self.cut_upstreams: set[str] = set()
         self.report_seconds = REPORT_SECONDS
+        self.work_of = work_of
         self.boots = 0
         self.lives: dict[str, OrderUpstream] = {}
         self.upstreams: dict[str, OrderUpstream] = {}
@@ -254,7 +256,13 @@
         """Start the upstream beside an agent, or a new life of it."""
         name = f"upstream-{agent}-{len(self.lives)}"
         upstream = OrderUpstream(
-            name, SERVICE, CAPACITY, work_of, self.history, clock_rate, self.make_rng()
+            name,
+            SERVICE,
+            CAPACITY,
+            self.work_of,
+            self.history,
+            clock_rate,
+            self.make_rng(),
         )
         self.lives[name] = self.upstreams[agent] = upstream
         self.nursery.start_soon(upstream.run)
