--- a/bergamotcourse/bench/job_load.py
+++ b/bergamotcourse/bench/job_load.py
@@ -4,6 +4,7 @@
 of a seed. Run as ``python -m bergamotcourse.bench.job_load``.
 """
 
+import math
 import random
 import statistics
 from dataclasses import dataclass, field
@@ -49,10 +50,6 @@
     work: float
     cpu: int = 3100
 
-    def cores(self) -> float:
-        """Return the core-seconds of a job."""
-        return self.tasks * self.work * self.cpu / 1000
-
 
 KINDS = (
     Kind("check", 0.24, 8, 0.12),
@@ -87,6 +84,7 @@
     Attributes:
         tallies: By kind.
         seconds: For how long jobs arrive and are counted.
+        longest: By job, the seconds of its longest task.
     """
 
     def __init__(self, fleet: JobFleet, load: float, seconds: float):
@@ -94,12 +92,11 @@
         self.rng = fleet.make_rng()
         self.tallies = {kind.name: Tally() for kind in KINDS}
         self.seconds = seconds
-        cores = len(fleet.agents) * CAPACITY.cpu / 1000
-        self.per_second = (
-            load * cores / sum(kind.share * kind.cores() for kind in KINDS)
-        )
+        self.per_second = load * len(fleet.agents) / mean_cost()
         self.queues = {kind.name: self._make_queue(kind) for kind in KINDS}
         self.number = 0
+        self.noted = 0
+        self.longest: dict[JobId, float] = {}
 
     def _make_queue(self, kind: Kind) -> JobQueue:
         return JobQueue(
@@ -130,7 +127,8 @@
             entry, spec, self.queues[kind.name], CALLER_SECONDS
         )
         if counts:
-            self._count(kind, answer.outcome, trio.current_time() - begun)
+            took = trio.current_time() - begun
+            self._count(kind, answer.outcome, took, self._objective(spec))
 
     def _make_job(self, kind: Kind) -> JobSpec:
         self.number += 1
@@ -138,10 +136,25 @@
         step = StepSpec(width, Resources(kind.cpu, 64, 0), kind.work)
         return JobSpec(JobId(f"j{self.number}"), kind.name, (step,))
 
-    def _count(self, kind: Kind, outcome: JobOutcome, took: float) -> None:
+    def _objective(self, spec: JobSpec) -> float:
+        """Return the seconds within which a job was wanted, by its longest task."""
+        self._note_runs()
+        longest = self.longest.get(spec.id, spec.steps[0].estimate)
+        return SLACK_FACTOR * longest + TARGET_SECONDS
+
+    def _note_runs(self) -> None:
+        """Note the longest task of each job, of the runs since the last time."""
+        runs = self.fleet.history[self.noted :]
+        self.noted += len(runs)
+        for run in runs:
+            job = JobId(run.key.task.partition(".")[0])
+            self.longest[job] = max(self.longest.get(job, 0.0), run.total)
+
+    def _count(
+        self, kind: Kind, outcome: JobOutcome, took: float, objective: float
+    ) -> None:
         tally = self.tallies[kind.name]
         tally.count += 1
-        objective = SLACK_FACTOR * self._longest(kind) + TARGET_SECONDS
         match outcome:
             case JobOutcome.SUCCEEDED if took <= objective:
                 tally.in_time += 1
@@ -152,12 +165,14 @@
             case _:
                 tally.failed += 1
 
-    def _longest(self, kind: Kind) -> float:
-        """Return the usual time of the longest task of a job."""
-        spread = TASK_DEVIATION * statistics.NormalDist().inv_cdf(
-            kind.tasks / (kind.tasks + 1)
-        )
-        return kind.work * 2.718**spread
+
+def mean_cost() -> float:
+    """Return the mean part of an upstream's seconds that a job takes."""
+    longer = math.exp(TASK_DEVIATION**2 / 2)
+    return sum(
+        kind.share * longer * kind.tasks * kind.work / (CAPACITY.cpu // kind.cpu)
+        for kind in KINDS
+    )
 
 
 def make_work(rng: random.Random):
