--- a/bergamotcourse/tests/platform/soak/test_soak.py
+++ b/bergamotcourse/tests/platform/soak/test_soak.py
@@ -7,6 +7,9 @@
 
 FAULTY = {
     12: "an agent whose upstream was silent never asked it again",
+    17: "an agent that came back did not note the ends from before",
+    113: "a stopping entry did not wait for a request that was coming in",
+    119: "a restarted agent said that a former run had not begun",
 }
 """Seeds that found a fault, with its cause."""
 
