--- a/bergamotcourse/coordination/jobs/processor_lag.py
+++ b/bergamotcourse/coordination/jobs/processor_lag.py
@@ -8,6 +8,8 @@
 """
 
 import random
+import time
+from collections.abc import Callable
 
 from bergamotcourse.coordination.event_log import EventLog
 from bergamotcourse.coordination.timers import JITTER_SHARE, Timers
@@ -29,19 +31,34 @@
 """Some are always taken: were all turned away, the lateness would say nothing."""
 
 
+PAUSE_SHARE = 0.02
+"""A process that used less of the processor than this while it was late was paused:
+what came meanwhile is not too much, and is served. One that is short of processor time
+has had a tenth of it or so."""
+
+
 class ProcessorLag:
     """Measures by how much periodic calls are late.
 
     Attributes:
+        used: Tells the seconds of processor time that this process has used.
         lag: Lateness of the latest look, in seconds.
         share: Share of new jobs to be turned away.
     """
 
-    def __init__(self, timers: Timers, log: EventLog, rng: random.Random | None = None):
+    def __init__(
+        self,
+        timers: Timers,
+        log: EventLog,
+        rng: random.Random | None = None,
+        used: Callable[[], float] = time.process_time,
+    ):
         self.timers = timers
         self.log = log
         self.rng = rng or random.Random()
+        self.used = used
         self.looked_at = timers.now()
+        self.used_before = used()
         self.lag = 0.0
         self.share = 0.0
         timers.every(LOOK_SECONDS, "processor lag", self.look)
@@ -55,7 +72,11 @@
         now = self.timers.now()
         due = self.looked_at + LOOK_SECONDS * (1 + JITTER_SHARE)
         self.looked_at = now
-        self.lag = max(0.0, now - due)
+        used = self.used()
+        late = max(0.0, now - due)
+        paused = used - self.used_before < late * PAUSE_SHARE
+        self.used_before = used
+        self.lag = 0.0 if paused else late
         was_short = self.share > 0
         self.share = share_for(self.lag)
         if (self.share > 0) != was_short:
--- a/bergamotcourse/tests/jobs/test_processor_lag.py
+++ b/bergamotcourse/tests/jobs/test_processor_lag.py
@@ -36,11 +36,14 @@
         self.clock = Clock()
         self.kinds = []
         log = EventLog(lambda kind, fields: self.kinds.append(kind))
-        self.lag = ProcessorLag(self.clock, log, random.Random(1))
+        self.used = 0.0
+        rng = random.Random(1)
+        self.lag = ProcessorLag(self.clock, log, rng, lambda: self.used)
 
-    def look(self, seconds):
-        """Let so much time pass, then look."""
+    def look(self, seconds, share=0.1):
+        """Let so much time pass with a share of the processor, then look."""
         self.clock.time += seconds
+        self.used += seconds * share
         trio.run(self.lag.look)
 
 
@@ -58,6 +61,12 @@
         assert shares[0] == 0
         assert share_for(MOST_LAG_SECONDS * 4) == shares[-1] < 1
 
+    def test_a_pause_turns_nothing_away(self):
+        watched = Watched()
+        watched.look(2.0, share=0.001)
+        assert watched.lag.share == 0
+        assert watched.kinds == []
+
     def test_a_call_in_time_ends_it(self):
         watched = Watched()
         for seconds in (0.2, 0.3, 0.02):
