Tell an entry that begins to wait of room that came unseen

Cause of refusals with room free: an entry knows an agent's room from its last message, up to 0.25 s old; once it had tasks waiting, it heard of room only with the next heartbeat or the next end there. An agent now answers at once where other entries' tasks leave more than it last told.

--- a/bergamotcourse/coordination/jobs/contacts.py
+++ b/bergamotcourse/coordination/jobs/contacts.py
@@ -63,6 +63,7 @@
         heard_at: When it last answered, or became known.
         waiting: It wants to be told of room.
         told_at: When it was last told of room.
+        told_left: The processor room that the last message left to it.
     """
 
     address: LinkAddress
@@ -73,6 +74,7 @@
     sent_at: float = -1e9
     waiting: bool = False
     told_at: float = 0.0
+    told_left: int = 0
     out: Outgoing[TaskEnded] = field(default_factory=Outgoing)
     incoming: Incoming = field(default_factory=Incoming)
 
@@ -193,7 +195,10 @@
             self._end_session(contact, "no answer in time")
             return
         self._renew(contact, turn.echo_ms)
+        begins_waiting = turn.waiting and not contact.waiting
         contact.waiting = turn.waiting
+        if begins_waiting and self._left_by_others(contact) > contact.told_left:
+            self._mark(contact)
         contact.out.confirm(turn.seen)
         for item in contact.incoming.accept(turn.first, turn.items):
             self._take_item(contact, item)
@@ -295,6 +300,7 @@
     def _send(self, contact: EntryContact) -> None:
         now = self.timers.now()
         contact.sent_at = now
+        contact.told_left = self._left_by_others(contact)
         first, items = contact.out.take(now)
         turn = AgentTurn(
             agent=self.name,
@@ -309,6 +315,12 @@
         )
         self.mailer.post(contact.address, turn)
 
+    def _left_by_others(self, contact: EntryContact) -> int:
+        """Return the processor room for an entry, with what it has already."""
+        book = self.executor.book
+        others = book.committed().cpu - book.committed(contact.address).cpu
+        return self.executor.capacity().cpu - others
+
     def _room(self, entry: LinkAddress) -> AgentRoom:
         executor = self.executor
         life = executor.life
--- a/bergamotcourse/tests/jobs/test_job_path.py
+++ b/bergamotcourse/tests/jobs/test_job_path.py
@@ -67,6 +67,25 @@
         run_fleet(main)
 
 
+class TestRoom:
+    def test_that_came_unseen_is_told_to_an_entry_that_begins_to_wait(self):
+        """Between two heartbeats another entry's tasks end."""
+
+        async def main(fleet):
+            waits = []
+            for number in range(8):
+                full = job(f"full{number}", tasks=10, work=0.31)
+                await fleet.submit("entry-1", full)
+                begun = trio.current_time()
+                answer = await fleet.submit("entry-2", job(f"j{number}", 1, 0.2))
+                assert answer.outcome is JobOutcome.SUCCEEDED
+                waits.append(answer.at - begun - 0.2)
+                await trio.sleep(0.037 * number)
+            assert max(waits) < 0.03
+
+        run_fleet(main, agents=1)
+
+
 class TestRefusal:
     def test_comes_early_and_says_the_truth(self):
         """Where there is no room, within a quarter of the objective."""
