Renew no lease and repeat no start for an entry whose contact has ended unnoticed

Found on modelling the contract: an agent that was paused until its contact with an entry had ended could, at the thaw, renew the upstream's lease or repeat an order to start before it had noticed, and then die: the runs would live up to 0.65 s on, past the time when the caller comes again. Tests red first: test_paused_it_renews_nothing_before_it_has_noticed, test_nothing_is_ordered_once_contact_with_the_entry_is_lost.

--- a/bergamotcourse/coordination/jobs/executor.py
+++ b/bergamotcourse/coordination/jobs/executor.py
@@ -221,7 +221,7 @@
         self.nursery.start_soon(self._order_start, run, self.life)
 
     async def _order_start(self, run: PlacedRun, life: UpstreamLife) -> None:
-        verdict = await self.giver.start(run, life)
+        verdict = await self.giver.start(run, life, lambda: self.may_start(run.entry))
         if self.book.has(run) and life is self.life:
             self._take_verdict(run, verdict)
 
@@ -339,7 +339,7 @@
         self.holds += 1
         number = self.holds
         busy = bool(self.book.runs)
-        renews = busy and life.failed_holds < MOST_FAILED_HOLDS
+        renews = busy and life.failed_holds < MOST_FAILED_HOLDS and self._may_renew()
         answer = await self.giver.hold(life, renews, waits=busy or life.listed > 0)
         if life is not self.life:
             return
@@ -356,6 +356,19 @@
                 self._hold_failed(life, answer)
                 await trio.sleep(RETRY_SECONDS)
 
+    def _may_renew(self) -> bool:
+        """Return whether each run that is not being stopped is still wanted.
+
+        After a pause of this process the contact with an entry may have ended
+        unnoticed. To renew the lease then, and to die, would let that entry's runs live
+        on after another has taken the job.
+        """
+        return all(
+            run.stop_wanted or self.may_start(run.entry)
+            for run in self.book.all()
+            if run.occupies
+        )
+
     def _hold_failed(self, life: UpstreamLife, failure: HoldFailure) -> None:
         life.failed_holds += 1
         if life.failed_holds == MOST_FAILED_HOLDS:
--- a/bergamotcourse/coordination/jobs/order_giver.py
+++ b/bergamotcourse/coordination/jobs/order_giver.py
@@ -1,5 +1,7 @@
 """Orders to one life of an upstream, repeated as far as that is safe."""
 
+from collections.abc import Callable
+
 import trio
 
 from bergamotcourse.coordination.jobs.lease_terms import (
@@ -34,9 +36,20 @@
     def __init__(self, timers: Timers):
         self.timers = timers
 
-    async def start(self, run: PlacedRun, life: UpstreamLife) -> StartVerdict:
-        """Order a run to start; after ``UNKNOWN`` it may start yet, or have run."""
+    async def start(
+        self, run: PlacedRun, life: UpstreamLife, may_start: Callable[[], bool]
+    ) -> StartVerdict:
+        """Order a run to start; after ``UNKNOWN`` it may start yet, or have run.
+
+        Args:
+            run: The run.
+            life: Of the upstream that is to run it.
+            may_start: Asked right before each order: this process may have been
+                paused since the run was taken, and the order renews the lease.
+        """
         for attempt in range(START_ATTEMPTS):
+            if not may_start():
+                return StartVerdict.UNKNOWN if attempt else StartVerdict.TOO_LATE
             until = life.renew(self.timers.lease_now())
             order = StartOrder(run.key, run.order.payload, until)
             reply = await life.port.start(order, START_TIMEOUT_SECONDS)
--- a/bergamotcourse/tests/jobs/test_order_giver.py
+++ b/bergamotcourse/tests/jobs/test_order_giver.py
@@ -27,7 +27,7 @@
         return StartReply(self.verdicts.pop(0))
 
 
-def order_start(*verdicts):
+def order_start(*verdicts, may_start=lambda: True):
     """Return what a start comes to, and how many answers were not asked for."""
 
     async def main():
@@ -36,7 +36,9 @@
         run = PlacedRun(KEY, LinkAddress("tcp://entry-1"), order, 0.0)
         run.state = RunState.STARTING
         life = UpstreamLife(None, port, 0.0, 0.0)
-        return await OrderGiver(Timers()).start(run, life), len(port.verdicts)
+        return await OrderGiver(Timers()).start(run, life, may_start), len(
+            port.verdicts
+        )
 
     return run_virtual(main, 1)
 
@@ -58,3 +60,14 @@
         self, verdict
     ):
         assert order_start(UNKNOWN, verdict)[0] is UNKNOWN
+
+    def test_nothing_is_ordered_once_contact_with_the_entry_is_lost(self):
+        assert order_start(UNKNOWN, may_start=lambda: False) == (
+            StartVerdict.TOO_LATE,
+            1,
+        )
+        answers = [True, False]
+        verdict = order_start(
+            UNKNOWN, StartVerdict.STARTED, may_start=lambda: answers.pop(0)
+        )
+        assert verdict == (UNKNOWN, 1)
--- a/bergamotcourse/tests/jobs/test_single_run.py
+++ b/bergamotcourse/tests/jobs/test_single_run.py
@@ -118,6 +118,20 @@
 
         run_fleet(main, agents=1)
 
+    def test_paused_it_renews_nothing_before_it_has_noticed(self):
+        """Its contact with the entry has ended; it goes on with the next renewal."""
+
+        async def main(fleet):
+            fleet.nursery.start_soon(fleet.submit, "entry-1", job("a", 4, 3.0))
+            await trio.sleep(0.5)
+            fleet.agents["agent-1"].executor.may_start = lambda entry: False
+            lapses_by = trio.current_time() + lease_terms.LAPSE_SECONDS
+            await trio.sleep(2.0)
+            assert len(fleet.history) == 4
+            assert all(run.ended_at < lapses_by for run in fleet.history)
+
+        run_fleet(main, agents=1)
+
     @pytest.mark.parametrize("away", [0.05, 0.5, 1.0])
     def test_back_it_cannot_say_that_what_was_placed_before_has_not_run(self, away):
         async def main(fleet):
