Let an upstream alone that takes orders from a later process; ask silent ones gently

A silent upstream without runs is asked four times a second, not thirty. Test red before: test_that_takes_orders_from_another_process_is_let_alone.

--- a/bergamotcourse/coordination/jobs/executor.py
+++ b/bergamotcourse/coordination/jobs/executor.py
@@ -45,6 +45,9 @@
 """After so many renewals without an answer the lease is left to lapse: each might have
 extended it, so the runs would never be known to be over."""
 
+IDLE_RETRY_SECONDS = 0.25
+"""Pause before a silent upstream on which nothing runs is asked again."""
+
 LOOK_SECONDS = 0.5
 """Pause between two looks at an upstream that does not answer."""
 
@@ -328,12 +331,14 @@
         life = self.life
         if life is None:
             return False
+        if any(run.asked_start for run in self.book.all()):
+            return True
+        if life.fenced:
+            return False
         # One that was silent is asked until it answers, also when nothing runs there
-        # any more: without an answer it would be offered no task again.
-        unsure = life.failed_holds > 0 or life.noted > life.told
-        # Runs of an earlier process end too, and their ends are to be noted.
-        unsure = unsure or life.listed > 0
-        return unsure or any(run.asked_start for run in self.book.all())
+        # any more: without an answer it would be offered no task again. Runs of an
+        # earlier process end too, and their ends are to be noted.
+        return life.failed_holds > 0 or life.noted > life.told or life.listed > 0
 
     async def _hold(self, life: UpstreamLife) -> None:
         self.holds += 1
@@ -349,12 +354,14 @@
                     self.log.write("upstream.answers", upstream=life.report.id)
                     self.book.room_changed()
                 life.failed_holds = 0
+                life.fenced = False
                 self._take_holding(life, answer, number)
             case HoldFailure.OTHER_BOOT:
                 self._end_life("another boot answers at its address")
             case _:
+                life.fenced = answer is HoldFailure.FENCED
                 self._hold_failed(life, answer)
-                await trio.sleep(RETRY_SECONDS)
+                await trio.sleep(RETRY_SECONDS if busy else IDLE_RETRY_SECONDS)
 
     def _may_renew(self) -> bool:
         """Return whether each run that is not being stopped is still wanted.
@@ -482,6 +489,9 @@
             answer = await self.giver.look(life)
             if answer is HoldFailure.OTHER_BOOT and life is self.life:
                 self._end_life("another boot answers at its address")
+            if answer is HoldFailure.FENCED:
+                life.fenced = True
+                return
             if not isinstance(answer, Holding):
                 await trio.sleep(RETRY_SECONDS)
         if life is self.life:
--- a/bergamotcourse/coordination/jobs/upstream_life.py
+++ b/bergamotcourse/coordination/jobs/upstream_life.py
@@ -20,6 +20,7 @@
         told: The last ``noted`` that it has confirmed.
         lapses_at: When all runs there are over unless the lease is renewed.
         failed_holds: Renewals in a row that had no answer.
+        fenced: It takes orders from a later process; there is nothing to ask it.
         listed: Runs that it listed last, those of earlier processes too.
     """
 
@@ -30,6 +31,7 @@
     noted: int = 0
     told: int = 0
     failed_holds: int = 0
+    fenced: bool = False
     listed: int = 0
 
     def hear_clock(self, clock: float | None, now: float) -> None:
--- a/bergamotcourse/tests/jobs/test_single_run.py
+++ b/bergamotcourse/tests/jobs/test_single_run.py
@@ -255,6 +255,25 @@
 
         run_fleet(main, agents=1)
 
+    @pytest.mark.parametrize("restarts", [False, True])
+    def test_that_takes_orders_from_another_process_is_let_alone(self, restarts):
+        async def main(fleet):
+            fleet.nursery.start_soon(fleet.submit, "entry-1", job("a", work=1.0))
+            await trio.sleep(0.3)
+            upstream = fleet.upstreams["agent-1"]
+            upstream.token = 1 << 60
+            if restarts:
+                fleet.agents["agent-1"].kill()
+                fleet.start_agent("agent-1")
+            await trio.sleep(3.0)
+            asked = []
+            look = upstream.look
+            upstream.look = lambda *args: asked.append(args) or look(*args)
+            await trio.sleep(5.0)
+            assert asked == []
+
+        run_fleet(main, agents=1)
+
     def test_that_answers_late_or_never(self):
         async def main(fleet):
             for upstream in fleet.upstreams.values():
