--- a/bergamotcourse/bench/job_load.py
+++ b/bergamotcourse/bench/job_load.py
@@ -11,19 +11,17 @@
 
 import click
 import trio
+from msgspec import structs
 
-from bergamotcourse.coordination.jobs.job_run import JobOutcome
+from bergamotcourse.coordination.jobs.job_run import LATE_FACTOR, JobOutcome
 from bergamotcourse.state.job_spec import JobId, JobQueue, JobSpec, StepSpec
 from bergamotcourse.state.resources import Resources
 from bergamotcourse.virtual.clock import run_virtual
-from bergamotcourse.virtual.job_fleet import CAPACITY, SERVICE, JobFleet
+from bergamotcourse.virtual.job_fleet import CAPACITY, NEEDS, QUEUE, JobFleet
 
-SLACK_FACTOR = 1.6
-TARGET_SECONDS = 0.06
 CALLER_SECONDS = 6.0
-LATE_FACTOR = 3.0
 LATE_WORTH = 0.2
-"""The users' rules: in time up to the objective, late up to three times."""
+"""Of a job that is late, by the users' sheets."""
 
 TASK_DEVIATION = 0.44
 """Of the logarithm of the time a task takes over the time declared, as measured."""
@@ -48,7 +46,6 @@
     share: float
     tasks: int
     work: float
-    cpu: int = 3100
 
 
 KINDS = (
@@ -99,16 +96,7 @@
         self.longest: dict[JobId, float] = {}
 
     def _make_queue(self, kind: Kind) -> JobQueue:
-        return JobQueue(
-            name=kind.name,
-            host="example",
-            path_prefix=f"/{kind.name}/",
-            service=SERVICE,
-            priority=0,
-            max_attempts=2,
-            slack_factor=SLACK_FACTOR,
-            target_latency=TARGET_SECONDS,
-        )
+        return structs.replace(QUEUE, name=kind.name, path_prefix=f"/{kind.name}/")
 
     async def run(self) -> None:
         """Let jobs arrive, and wait for the last."""
@@ -133,14 +121,14 @@
     def _make_job(self, kind: Kind) -> JobSpec:
         self.number += 1
         width = max(1, round(kind.tasks * self.rng.lognormvariate(-0.08, 0.4)))
-        step = StepSpec(width, Resources(kind.cpu, 64, 0), kind.work)
+        step = StepSpec(width, NEEDS, kind.work)
         return JobSpec(JobId(f"j{self.number}"), kind.name, (step,))
 
     def _objective(self, spec: JobSpec) -> float:
         """Return the seconds within which a job was wanted, by its longest task."""
         self._note_runs()
         longest = self.longest.get(spec.id, spec.steps[0].estimate)
-        return SLACK_FACTOR * longest + TARGET_SECONDS
+        return QUEUE.objective(longest)
 
     def _note_runs(self) -> None:
         """Note the longest task of each job, of the runs since the last time."""
@@ -170,7 +158,7 @@
     """Return the mean part of an upstream's seconds that a job takes."""
     longer = math.exp(TASK_DEVIATION**2 / 2)
     return sum(
-        kind.share * longer * kind.tasks * kind.work / (CAPACITY.cpu // kind.cpu)
+        kind.share * longer * kind.tasks * kind.work / (CAPACITY.cpu // NEEDS.cpu)
         for kind in KINDS
     )
 
@@ -183,7 +171,7 @@
     def work_of(payload: str) -> tuple[Resources, float]:
         kind = kinds[payload]
         work = kind.work * errors[payload] * rng.lognormvariate(0, TASK_DEVIATION)
-        return Resources(kind.cpu, 64, 0), work
+        return NEEDS, work
 
     return work_of
 
--- a/bergamotcourse/bench/launcher.py
+++ b/bergamotcourse/bench/launcher.py
@@ -213,10 +213,10 @@
         return serves
 
 
-def free_port() -> int:
+def free_port(host: str = HOST) -> int:
     """Return a port that the kernel chose."""
     with socket.socket() as probe:
-        probe.bind((HOST, 0))
+        probe.bind((host, 0))
         return probe.getsockname()[1]
 
 
--- a/bergamotcourse/tests/jobs/test_configuration.py
+++ b/bergamotcourse/tests/jobs/test_configuration.py
@@ -3,6 +3,7 @@
 import random
 
 import msgspec
+import pytest
 import trio
 from expression import Error, Ok
 
@@ -104,16 +105,24 @@
 
         self.follow(scenario)
 
-    def test_a_store_that_comes_back_is_followed_again(self):
+    @pytest.mark.parametrize(
+        ("error", "seconds", "version"),
+        [
+            (StepError(Step.STORE, "store", "status 503"), 5.0, 4),
+            (HistoryGoneError(Step.STORE, "store", "history is gone"), 0.2, 5),
+        ],
+        ids=["status 503", "history gone"],
+    )
+    def test_a_store_that_comes_back_is_followed_again(self, error, seconds, version):
         async def scenario(store, queues):
             store.put(3)
             await trio.sleep(0.5)
-            store.error = StepError(Step.STORE, "store", "status 503")
-            await trio.sleep(5.0)
-            store.put(4)
+            store.error = error
+            await trio.sleep(seconds)
+            store.put(version)
             store.error = None
             await trio.sleep(IN_FORCE_SECONDS)
-            assert queues.version == 4
+            assert queues.version == version
 
         self.follow(scenario)
 
@@ -125,19 +134,6 @@
 
         self.follow(scenario)
 
-    def test_lost_history_leads_to_a_new_reading(self):
-        async def scenario(store, queues):
-            store.put(3)
-            await trio.sleep(0.5)
-            store.error = HistoryGoneError(Step.STORE, "store", "history is gone")
-            await trio.sleep(0.2)
-            store.put(5)
-            store.error = None
-            await trio.sleep(IN_FORCE_SECONDS)
-            assert queues.version == 5
-
-        self.follow(scenario)
-
 
 class TestPeers:
     def converse(self, scenario, cut=None):
--- a/bergamotcourse/tests/platform/cluster.py
+++ b/bergamotcourse/tests/platform/cluster.py
@@ -4,7 +4,6 @@
 import json
 import os
 import signal
-import socket
 import subprocess
 import sys
 from dataclasses import dataclass, field
@@ -13,6 +12,7 @@
 import msgspec
 import trio
 
+from bergamotcourse.bench.launcher import free_port
 from bergamotcourse.standins.order_upstream import OrderUpstream, Run
 from bergamotcourse.state.resources import Resources
 from bergamotcourse.tests.platform.standins import HttpWorker, Rows
@@ -62,12 +62,6 @@
     return Resources(TASK_CPU, TASK_MEM_MB, 0), float(payload)
 
 
-def free_port(host):
-    with socket.socket() as sock:
-        sock.bind((host, 0))
-        return sock.getsockname()[1]
-
-
 @dataclass
 class Node:
     """One process of ours.
--- a/bergamotcourse/tests/platform/standins.py
+++ b/bergamotcourse/tests/platform/standins.py
@@ -5,6 +5,7 @@
 import msgspec
 import trio
 
+from bergamotcourse.platform.front import json_response
 from bergamotcourse.protocol.upstream_orders import (
     HoldFailure,
     RunKey,
@@ -24,11 +25,6 @@
 }
 
 
-def json_answer(status, body):
-    headers = [("content-type", "application/json")]
-    return HttpResponse(status, headers, msgspec.json.encode(body))
-
-
 class Rows:
     """Keeps rows; ``status`` refuses all calls."""
 
@@ -62,7 +58,7 @@
 
     def answer(self, rows):
         body = {"rows": rows, "has_more": False, "ver": self.version, "now_ms": 1}
-        return HttpResponse(200, [], msgspec.json.encode(body))
+        return json_response(200, body)
 
 
 class HttpWorker:
@@ -122,7 +118,7 @@
         return self.answer(200, running=running, ended=ended)
 
     def answer(self, status, **fields):
-        return json_answer(status, {"clock_ms": self.clock_ms(), **fields})
+        return json_response(status, {"clock_ms": self.clock_ms(), **fields})
 
     def clock_ms(self):
         return int(self.upstream.clock() * 1000)
--- a/bergamotcourse/tests/platform/test_processes.py
+++ b/bergamotcourse/tests/platform/test_processes.py
@@ -30,6 +30,21 @@
                 nursery.cancel_scope.cancel()
 
 
+@asynccontextmanager
+async def job_under_way(cluster, entry, number, work):
+    """Enter once a job's tasks run, and leave when it is answered."""
+    answers = []
+
+    async def call():
+        answers.append(await submit(entry, number, work))
+
+    async with trio.open_nursery() as nursery:
+        nursery.start_soon(call)
+        while not cluster.history:
+            await trio.sleep(0.02)
+        yield answers
+
+
 class TestProcesses:
     def test_a_job_runs_and_each_decision_is_told(self, tmp_path):
         async def main():
@@ -48,15 +63,7 @@
     def test_a_planned_stop_of_the_entry_cuts_nothing(self, tmp_path):
         async def main():
             async with running(tmp_path) as (cluster, entry, agent):
-                answers = []
-
-                async def call():
-                    answers.append(await submit(entry, 2, 1.5))
-
-                async with trio.open_nursery() as nursery:
-                    nursery.start_soon(call)
-                    while not cluster.history:
-                        await trio.sleep(0.02)
+                async with job_under_way(cluster, entry, 2, 1.5) as answers:
                     entry.send(signal.SIGHUP)
                     entry.send(signal.SIGTERM)
                 assert answers[0].status == 200
@@ -108,15 +115,7 @@
     def test_a_planned_stop_of_the_agent_finishes_what_runs(self, tmp_path):
         async def main():
             async with running(tmp_path) as (cluster, entry, agent):
-                answers = []
-
-                async def call():
-                    answers.append(await submit(entry, 3, 1.0))
-
-                async with trio.open_nursery() as nursery:
-                    nursery.start_soon(call)
-                    while not cluster.history:
-                        await trio.sleep(0.02)
+                async with job_under_way(cluster, entry, 3, 1.0) as answers:
                     agent.send(signal.SIGTERM)
                 assert answers[0].status == 200
                 assert await agent.until_ended() == 0
