Start a role with only what it uses; skip what another writer sent, not what stands beside

Cause: after a loss of all processes nothing is served until a process has started again, and a start imports the command line's and the metrics' libraries, the other role's modules, and whatever the machine's site module loads.

The two functions for a JSON answer are one.

A row of the store that could not be decoded failed the whole read. The agent knows its upstream's service by its settings, read anew before a report is refused for it.

--- a/bergamotcourse/daemons/admin_drains.py
+++ b/bergamotcourse/daemons/admin_drains.py
@@ -11,12 +11,12 @@
     AdminRequest,
     admin_problem,
     bad_request,
-    json_answer,
 )
 from bergamotcourse.protocol.drain_progress import DrainProgress, drain_progress
 from bergamotcourse.state.manifest import Drain, DrainKind
 from bergamotcourse.state.validation import NAME
 from bergamotcourse.transport.http import HttpResponse
+from bergamotcourse.transport.http_json import json_answer
 
 
 async def list_drains(request: AdminRequest) -> HttpResponse:
--- a/bergamotcourse/daemons/admin_manifest.py
+++ b/bergamotcourse/daemons/admin_manifest.py
@@ -26,7 +26,6 @@
     admin_problem,
     bad_request,
     error_answer,
-    json_answer,
 )
 from bergamotcourse.errors import StepError
 from bergamotcourse.ids import ConfigVersion
@@ -36,6 +35,7 @@
 from bergamotcourse.state.manifest_diff import diff_manifests
 from bergamotcourse.state.masking import mask_changes, mask_manifest
 from bergamotcourse.transport.http import HttpResponse
+from bergamotcourse.transport.http_json import json_answer
 
 BODY_NAME = "manifest"
 
--- a/bergamotcourse/daemons/admin_request.py
+++ b/bergamotcourse/daemons/admin_request.py
@@ -17,7 +17,6 @@
 from bergamotcourse.transport.http import HttpResponse
 from bergamotcourse.transport.http_problem import ProblemDetails, encode_problem
 
-JSON_TYPE = ("content-type", "application/json")
 TRUE_WORDS = ("true", "1", "yes")
 RETRY_SECONDS = 1.0
 
@@ -84,11 +83,6 @@
             return Error(str(error))
 
 
-def json_answer(value: Any, status: HTTPStatus = HTTPStatus.OK) -> HttpResponse:
-    """Return a value as a response."""
-    return HttpResponse(status, [JSON_TYPE], msgspec.json.encode(value))
-
-
 def admin_problem(
     status: HTTPStatus, detail: str, retry_after: float | None = None, **more: Any
 ) -> HttpResponse:
--- a/bergamotcourse/daemons/admin_routes.py
+++ b/bergamotcourse/daemons/admin_routes.py
@@ -12,12 +12,13 @@
 )
 from bergamotcourse.coordination.status import entry_status
 from bergamotcourse.daemons import admin_drains, admin_manifest, admin_teams
-from bergamotcourse.daemons.admin_request import AdminRequest, json_answer
+from bergamotcourse.daemons.admin_request import AdminRequest
 from bergamotcourse.protocol.drain_progress import DrainProgress
 from bergamotcourse.protocol.status import EntryStatus
 from bergamotcourse.state.config_record import Record
 from bergamotcourse.state.manifest import Role
 from bergamotcourse.transport.http import HttpResponse
+from bergamotcourse.transport.http_json import json_answer
 
 RouteHandler = Callable[[AdminRequest], Awaitable[HttpResponse]]
 
--- a/bergamotcourse/daemons/admin_teams.py
+++ b/bergamotcourse/daemons/admin_teams.py
@@ -9,11 +9,11 @@
 from bergamotcourse.daemons.admin_request import (
     AdminRequest,
     admin_problem,
-    json_answer,
 )
 from bergamotcourse.state.manifest import Team, TeamRole
 from bergamotcourse.state.submission import Kind, Submission
 from bergamotcourse.transport.http import HttpResponse
+from bergamotcourse.transport.http_json import json_answer
 
 MOST_JOBS = 1000
 
--- a/bergamotcourse/daemons/job_agent.py
+++ b/bergamotcourse/daemons/job_agent.py
@@ -44,7 +44,7 @@
         node = self.node
         self.contacts.learn(node.seeds())
         self.nursery = nursery
-        reports = node.platform.reports(self.executor, self._upstream_changed)
+        reports = node.platform.reports(self.executor, self._upstream_changed, node.log)
         rows = EntryRows(node.store, node.rng, node.log)
         nursery.start_soon(self._recall_upstream)
         await nursery.start(self.executor.run)
--- a/bergamotcourse/daemons/job_process.py
+++ b/bergamotcourse/daemons/job_process.py
@@ -11,7 +11,7 @@
 from bergamotcourse.coordination.event_log import EventLog
 from bergamotcourse.coordination.timers import Timers
 from bergamotcourse.daemons.job_metrics import JobMetrics
-from bergamotcourse.daemons.job_platform import JobPlatform
+from bergamotcourse.daemons.job_platform import Platform
 from bergamotcourse.daemons.json_log import JsonLog
 from bergamotcourse.daemons.process import ignore_stops_at_the_end, serve_http
 from bergamotcourse.errors import BergamotcourseError
@@ -60,7 +60,7 @@
             restarts of processes.
     """
 
-    def __init__(self, platform: JobPlatform):
+    def __init__(self, platform: Platform):
         self.platform = platform
         self.settings = platform.settings()
         self.rng = random.Random()
@@ -73,7 +73,7 @@
         link = NngLink(where.host, where.port, reconnect_ms=RECONNECT_MS)
         self.mailer = Mailer(link, rng=self.rng)
         self.address = link_address(where)
-        self.store = platform.store(self.settings)
+        self.store = platform.store(self.settings, self.log)
 
     def steady_clock_ms(self) -> int:
         """Return the machine's steady clock in milliseconds, suspensions included."""
@@ -126,7 +126,7 @@
     return HttpServer(where.host, where.port, handler, SERVER_LIMITS)
 
 
-def run_process(kind, platform: JobPlatform) -> int:
+def run_process(kind, platform: Platform) -> int:
     """Run a daemon until it is stopped, and return the process's exit code."""
     try:
         node = Node(platform)
--- /dev/null
+++ b/bergamotcourse/platform/agent.py
@@ -0,0 +1,36 @@
+"""Runs an agent beside a worker: ``python3 -m bergamotcourse.platform.agent``."""
+
+import sys
+from collections.abc import Callable
+
+from bergamotcourse.coordination.event_log import EventLog
+from bergamotcourse.coordination.jobs.executor import Executor
+from bergamotcourse.daemons.job_agent import JobAgent
+from bergamotcourse.daemons.job_process import run_process
+from bergamotcourse.ids import ServiceName
+from bergamotcourse.platform.machine import Machine
+from bergamotcourse.platform.reports import ReportsFront
+from bergamotcourse.platform.worker_orders import WorkerOrders
+from bergamotcourse.protocol.upstream_orders import OrderPort, UpstreamReport
+from bergamotcourse.transport.http import Handler
+
+
+class AgentMachine(Machine):
+    """The platform as an agent sees it; implements ``AgentPlatform``."""
+
+    def orders(self, report: UpstreamReport, token: int) -> OrderPort:
+        """Return the port to a worker."""
+        return WorkerOrders.connect(report, token)
+
+    def reports(
+        self, executor: Executor, on_change: Callable[[], None], log: EventLog
+    ) -> Handler:
+        """Return the handler of workers' reports."""
+        return ReportsFront(executor, on_change, self._service, log).handle
+
+    def _service(self) -> ServiceName:
+        return self.settings().service
+
+
+if __name__ == "__main__":
+    sys.exit(run_process(JobAgent, AgentMachine()))
--- a/bergamotcourse/platform/front.py
+++ b/bergamotcourse/platform/callers.py
@@ -1,21 +1,19 @@
-"""The HTTP interfaces: callers' jobs, readiness, and workers' reports."""
+"""The HTTP interfaces of an entry: callers' jobs and readiness."""
 
 import re
 from collections.abc import Callable
 from urllib.parse import urlsplit
 
-import msgspec
-
-from bergamotcourse.coordination.jobs.executor import Executor
 from bergamotcourse.coordination.jobs.job_run import JobOutcome
 from bergamotcourse.coordination.jobs.job_service import (
     JobAnswer,
     JobService,
     JobState,
 )
-from bergamotcourse.platform.documents import decode_job, decode_report
+from bergamotcourse.platform.documents import decode_job
 from bergamotcourse.state.job_spec import JobId, JobQueue
 from bergamotcourse.transport.http import HttpRequest, HttpResponse
+from bergamotcourse.transport.http_json import json_answer
 from bergamotcourse.transport.http_problem import plain_problem
 
 JOB_ID = re.compile(r"[0-9a-f]{16}")
@@ -25,8 +23,6 @@
 """For a caller that does not say for how long it waits."""
 
 NOT_READY_RETRY_SECONDS = 1.0
-REPORT_PATH = "/bergamotcourse/Instances.Heartbeat/"
-LEAVE_PATH = "/bergamotcourse/Instances.Deregister/"
 
 STATUSES = {
     JobOutcome.SUCCEEDED: 200,
@@ -53,7 +49,7 @@
             return plain_problem(404, "no such queue")
         name = path[len(queue.path_prefix) :]
         if request.method == "GET" and not name:
-            return json_response(200, {"pending": self.service.pending(queue)})
+            return json_answer({"pending": self.service.pending(queue)})
         if not JOB_ID.fullmatch(name):
             return plain_problem(400, "a job's id has 16 hexadecimal digits")
         job_id = JobId(name)
@@ -90,42 +86,7 @@
     async def handle(self, request: HttpRequest) -> HttpResponse:
         """Answer one request."""
         ready = self.is_ready()
-        return json_response(200 if ready else 503, {"ready": ready})
-
-
-class ReportsFront:
-    """Takes workers' reports of themselves.
-
-    Attributes:
-        on_change: Called after a report was taken.
-    """
-
-    def __init__(self, executor: Executor, on_change: Callable[[], None]):
-        self.executor = executor
-        self.on_change = on_change
-
-    async def handle(self, request: HttpRequest) -> HttpResponse:
-        """Answer one request."""
-        path = urlsplit(request.target).path
-        if request.method != "POST":
-            return plain_problem(405, "only POST is served")
-        if path.startswith(REPORT_PATH):
-            return self._report(path.removeprefix(REPORT_PATH), request.body)
-        if path.startswith(LEAVE_PATH):
-            self.executor.upstream_left(path.removeprefix(LEAVE_PATH))
-            return json_response(200, {})
-        return plain_problem(404, "no such call")
-
-    def _report(self, upstream: str, body: bytes) -> HttpResponse:
-        try:
-            report = decode_report(upstream, body)
-        except ValueError as error:
-            return plain_problem(400, f"malformed report: {error}")
-        before = self.executor.refusal()
-        self.executor.hear_upstream(report)
-        if self.executor.refusal() != before:
-            self.on_change()
-        return json_response(200, {})
+        return json_answer({"ready": ready}, 200 if ready else 503)
 
 
 class UnusedFront:
@@ -136,19 +97,13 @@
         return plain_problem(404, "workers report to the agent beside them")
 
 
-def json_response(status: int, body: dict) -> HttpResponse:
-    """Return a response with a JSON body."""
-    headers = [("content-type", "application/json")]
-    return HttpResponse(status, headers, msgspec.json.encode(body))
-
-
 def job_response(answer: JobAnswer) -> HttpResponse:
     """Return the response to the caller that handed a job in."""
     if answer.outcome is None:
         return plain_problem(409, answer.why)
     status = STATUSES[answer.outcome]
     if status == 200:
-        return json_response(200, {"state": answer.outcome.value})
+        return json_answer({"state": answer.outcome.value})
     retry_after = answer.retry_after if status == 503 else None
     return plain_problem(status, answer.why, retry_after)
 
@@ -157,14 +112,14 @@
     """Return the response to a caller that asks for a job's state."""
     if state is None:
         return plain_problem(410, "no such job")
-    return json_response(200, {"state": state.value})
+    return json_answer({"state": state.value})
 
 
 def cancel_response(cancelled: bool) -> HttpResponse:
     """Return the response to a caller that cancels a job."""
     if not cancelled:
         return plain_problem(410, "no such job")
-    return json_response(200, {})
+    return json_answer({})
 
 
 def deadline_of(request: HttpRequest) -> float:
--- a/bergamotcourse/platform/documents.py
+++ b/bergamotcourse/platform/documents.py
@@ -1,8 +1,12 @@
 """The platform's documents, decoded once into the product's types."""
 
+from enum import Enum
+from typing import Annotated, Any
+
 import msgspec
 
 from bergamotcourse.ids import ConfigVersion, ServiceName, UpstreamId, ZoneName
+from bergamotcourse.platform.settings_file import is_address
 from bergamotcourse.protocol.upstream_orders import UpstreamReport
 from bergamotcourse.state.job_spec import (
     JobId,
@@ -65,25 +69,39 @@
     repeat_count: int = 0
 
 
+class WireState(Enum):
+    """Whether a worker takes tasks."""
+
+    READY = "ready"
+    DRAINING = "draining"
+
+
+Amount = Annotated[int, msgspec.Meta(ge=0)]
+
+
 class WireCapacity(msgspec.Struct, frozen=True):
     """What a worker has."""
 
-    cpu: int = 0
-    mem_mb: int = 0
-    gpu: int = 0
+    cpu: Amount
+    mem_mb: Amount
+    gpu: Amount = 0
 
 
 class WireHeartbeat(msgspec.Struct):
-    """A worker's report of itself."""
+    """A worker's report of itself.
+
+    What another writer sends may lack a field: a report without a capacity or a clock
+    would put an upstream to which nothing can be placed in the place of a sound one.
+    """
 
     service: str
     address: str
     zone: str
-    state: str
-    sequence: int
-    capacity: WireCapacity = WireCapacity()
+    state: WireState
+    sequence: Amount
+    capacity: WireCapacity
+    clock_ms: Amount
     labels: list[str] = []
-    clock_ms: int = 0
 
 
 _config = msgspec.json.Decoder(WireConfig)
@@ -91,13 +109,25 @@
 _heartbeat = msgspec.json.Decoder(WireHeartbeat)
 
 
+def decode(decoder: msgspec.json.Decoder, body: bytes) -> Any:
+    """Return the document in a body.
+
+    Raises:
+        ValueError: It is malformed, or nested too deep to be read.
+    """
+    try:
+        return decoder.decode(body)
+    except RecursionError as error:
+        raise ValueError("it is nested too deep") from error
+
+
 def decode_queues(content: bytes) -> QueueTable:
     """Return the queues of a configuration.
 
     Raises:
         ValueError: It is malformed.
     """
-    config = _config.decode(content)
+    config = decode(_config, content)
     queues = tuple(
         JobQueue(
             name=route.name,
@@ -120,7 +150,7 @@
     Raises:
         ValueError: It is malformed.
     """
-    job = _job.decode(body)
+    job = decode(_job, body)
     if not job.steps:
         raise ValueError("the job has no steps")
     if sum(step.count for step in job.steps) > MOST_TASKS:
@@ -169,7 +199,11 @@
     Raises:
         ValueError: It is malformed.
     """
-    beat = _heartbeat.decode(body)
+    beat = decode(_heartbeat, body)
+    if not upstream or not beat.service:
+        raise ValueError("it names no worker")
+    if not is_address(beat.address):
+        raise ValueError(f"not of the form IP:PORT: {beat.address}")
     capacity = beat.capacity
     return UpstreamReport(
         id=UpstreamId(upstream),
@@ -178,7 +212,7 @@
         zone=ZoneName(beat.zone),
         capacity=Resources(capacity.cpu, capacity.mem_mb, capacity.gpu),
         labels=tuple(beat.labels),
-        draining=beat.state != "ready",
+        draining=beat.state is WireState.DRAINING,
         sequence=beat.sequence,
         clock=beat.clock_ms / 1000,
     )
--- a/bergamotcourse/platform/settings_file.py
+++ b/bergamotcourse/platform/settings_file.py
@@ -1,9 +1,14 @@
 """The platform's settings file: lines of ``a.b=value``."""
 
+import re
+import socket
+
 from bergamotcourse.errors import BergamotcourseError, Step, StepError
-from bergamotcourse.ids import ZoneName
+from bergamotcourse.ids import ServiceName, ZoneName
 from bergamotcourse.state.node_settings import Endpoint, NodeSettings
 
+PORT = re.compile(r"[0-9]{1,5}")
+
 REQUIRED = ("node_name", "ip", "zone", "internal_ports", "platform.address")
 
 
@@ -58,6 +63,7 @@
             if seed
         ),
         store=endpoint(fields["platform.address"]),
+        service=ServiceName(fields.get("service", "")),
         stop_seconds=float(fields.get("bounds.grace_s") or 6),
     )
 
@@ -90,7 +96,13 @@
 def is_address(text: str) -> bool:
     """Return whether a text is ``IP:PORT``."""
     host, _, port = text.rpartition(":")
-    return bool(host) and port.isdigit() and 0 < int(port) < 65536
+    if not PORT.fullmatch(port) or not 0 < int(port) < 65536:
+        return False
+    try:
+        socket.inet_pton(socket.AF_INET, host)
+    except (OSError, ValueError):
+        return False
+    return True
 
 
 def is_number(text: str) -> bool:
--- a/bergamotcourse/platform/store.py
+++ b/bergamotcourse/platform/store.py
@@ -1,13 +1,16 @@
 """The platform's store: the calls that the job dispatcher needs."""
 
 import base64
+from dataclasses import dataclass
 from urllib.parse import urlencode
 
 import msgspec
 from expression import Error, Ok, Result
 
+from bergamotcourse.coordination.event_log import EventLog
 from bergamotcourse.errors import Step, StepError
 from bergamotcourse.ids import LinkAddress
+from bergamotcourse.platform.settings_file import is_address
 from bergamotcourse.protocol.job_store import ConfigRead, HistoryGoneError
 from bergamotcourse.protocol.upstream_orders import UpstreamReport
 from bergamotcourse.state.node_settings import Endpoint
@@ -20,6 +23,15 @@
 UPSTREAM_TABLE = "upstreams"
 HISTORY_GONE_STATUS = 410
 
+LINK_SCHEME = "tcp://"
+"""Begins the addresses of our processes."""
+
+MOST_KEY = 80
+"""Bytes of an unreadable row that are logged, to find it by."""
+
+MOST_SKIPPED = 1000
+"""Rows that are told of once; beyond it some are told of again."""
+
 JSON = ("content-type", "application/json")
 
 
@@ -33,27 +45,45 @@
 
 
 class WireRows(msgspec.Struct):
-    """The answer to a read; ``ver`` is the store's newest version."""
+    """The answer to a read; ``ver`` is the store's newest version.
+
+    Rows are decoded one by one: others write to the store too, and what cannot be read
+    of one row must not hide the rest.
+    """
 
     ver: int
-    rows: list[WireRow] = []
-    has_more: bool = False
+    rows: list[msgspec.Raw] = []
+
+
+@dataclass(frozen=True)
+class Rows:
+    """The rows of a read that can be decoded."""
+
+    version: int
+    rows: list[WireRow]
 
 
 _report = msgspec.msgpack.Decoder(UpstreamReport)
 _rows = msgspec.json.Decoder(WireRows)
+_row = msgspec.json.Decoder(WireRow)
 
 
 class Store:
-    """Calls to the store, each with a timeout; none is repeated here."""
+    """Calls to the store, each with a timeout; none is repeated here.
+
+    Attributes:
+        skipped: Rows that cannot be read and were logged: table, key, version.
+    """
 
-    def __init__(self, where: Endpoint):
+    def __init__(self, where: Endpoint, log: EventLog):
         self.client = HttpClient(where.host, where.port, connections=4)
+        self.log = log
+        self.skipped: set[tuple[str, str, int]] = set()
 
     async def read_config(self, timeout: float) -> Result[ConfigRead, StepError]:
         """Return the configuration."""
         rows = await self._read(OPERATOR_TABLE, timeout)
-        return rows.map(config_in)
+        return rows.map(self._config_in)
 
     async def config_changes(
         self, after: int, wait: float, timeout: float
@@ -61,8 +91,8 @@
         """Return the configuration if it changes within ``wait`` seconds."""
         fields = {"table": OPERATOR_TABLE, "after": after, "wait_ms": int(wait * 1000)}
         target = f"/bergamotcourse/rows-feed?{urlencode(fields)}"
-        rows = await self._get(target, timeout)
-        return rows.map(config_in)
+        rows = await self._get(OPERATOR_TABLE, target, timeout)
+        return rows.map(self._config_in)
 
     async def put_entry(
         self, address: LinkAddress, timeout: float
@@ -82,7 +112,7 @@
     ) -> Result[list[LinkAddress], StepError]:
         """Return the entries that have made themselves known."""
         rows = await self._read(ENTRY_TABLE, timeout)
-        return rows.map(lambda read: [LinkAddress(row.key) for row in read.rows])
+        return rows.map(self._entries_in)
 
     async def put_upstream(
         self, agent: LinkAddress, report: UpstreamReport, timeout: float
@@ -96,7 +126,7 @@
     ) -> Result[dict[LinkAddress, UpstreamReport], StepError]:
         """Return the upstreams by agent, as last reported."""
         rows = await self._read(UPSTREAM_TABLE, timeout)
-        return rows.map(upstreams_in)
+        return rows.map(self._upstreams_in)
 
     async def aclose(self) -> None:
         """Close the connections."""
@@ -109,11 +139,13 @@
         row["value"] = base64.b64encode(value).decode()
         return await self._transact({"put": [row]}, timeout)
 
-    async def _read(self, table: str, timeout: float) -> Result[WireRows, StepError]:
+    async def _read(self, table: str, timeout: float) -> Result[Rows, StepError]:
         query = urlencode({"table": table, "part": ""})
-        return await self._get(f"/bergamotcourse/rows-get?{query}", timeout)
+        return await self._get(table, f"/bergamotcourse/rows-get?{query}", timeout)
 
-    async def _get(self, target: str, timeout: float) -> Result[WireRows, StepError]:
+    async def _get(
+        self, table: str, target: str, timeout: float
+    ) -> Result[Rows, StepError]:
         answer = await self.client.request(HttpRequest("GET", target), timeout)
         if answer.is_error():
             return answer
@@ -124,9 +156,65 @@
         if answer.ok.status != 200:
             return self._refused(answer.ok.status)
         try:
-            return Ok(_rows.decode(answer.ok.body))
+            read = _rows.decode(answer.ok.body)
         except ValueError as error:
             return Error(StepError(Step.DECODE, self.client.peer, str(error)))
+        return Ok(Rows(read.ver, self._decode_rows(table, read.rows)))
+
+    def _decode_rows(self, table: str, raw: list[msgspec.Raw]) -> list[WireRow]:
+        rows = []
+        for one in raw:
+            try:
+                rows.append(_row.decode(one))
+            except ValueError as error:
+                self._skip(
+                    table, WireRow(bytes(one)[:MOST_KEY].decode("latin-1")), error
+                )
+        return rows
+
+    def _skip(self, table: str, row: WireRow, error: Exception) -> None:
+        """Tell once of a row that cannot be read."""
+        known = (table, row.key, row.ver)
+        if known in self.skipped:
+            return
+        if len(self.skipped) >= MOST_SKIPPED:
+            self.skipped.clear()
+        self.skipped.add(known)
+        self.log.write("store.row_skipped", table=table, key=row.key, why=str(error))
+
+    def _config_in(self, read: Rows) -> ConfigRead:
+        """Return the configuration among the rows of the operator's table."""
+        for row in read.rows:
+            if row.key == CONFIG_KEY and not row.deleted:
+                try:
+                    content = base64.b64decode(row.value, validate=True)
+                except ValueError as error:
+                    self._skip(OPERATOR_TABLE, row, error)
+                    continue
+                return ConfigRead(read.version, content)
+        return ConfigRead(read.version, None)
+
+    def _entries_in(self, read: Rows) -> list[LinkAddress]:
+        """Return the entries that the rows name."""
+        entries = []
+        for row in read.rows:
+            try:
+                entries.append(link_address_in(row.key))
+            except ValueError as error:
+                self._skip(ENTRY_TABLE, row, error)
+        return entries
+
+    def _upstreams_in(self, read: Rows) -> dict[LinkAddress, UpstreamReport]:
+        """Return the reports in the rows, by agent."""
+        reports = {}
+        for row in read.rows:
+            try:
+                value = base64.b64decode(row.value, validate=True)
+                reports[link_address_in(row.key)] = check_report(_report.decode(value))
+            except ValueError as error:
+                # The upstream's own report comes within 2 s.
+                self._skip(UPSTREAM_TABLE, row, error)
+        return reports
 
     async def _transact(self, body: dict, timeout: float) -> Result[None, StepError]:
         request = HttpRequest(
@@ -143,22 +231,23 @@
         return Error(StepError(Step.STORE, self.client.peer, f"status {status}"))
 
 
-def config_in(read: WireRows) -> ConfigRead:
-    """Return the configuration among the rows of the operator's table."""
-    for row in read.rows:
-        if row.key == CONFIG_KEY and not row.deleted:
-            return ConfigRead(read.ver, base64.b64decode(row.value))
-    return ConfigRead(read.ver, None)
+def link_address_in(key: str) -> LinkAddress:
+    """Return the address of a process that a row's key is.
 
+    Raises:
+        ValueError: It is none; a greeting to it would be tried again and again.
+    """
+    if not key.startswith(LINK_SCHEME) or not is_address(key.removeprefix(LINK_SCHEME)):
+        raise ValueError("the key is no address of a process")
+    return LinkAddress(key)
 
-def upstreams_in(read: WireRows) -> dict[LinkAddress, UpstreamReport]:
-    """Return the reports in the rows; one that cannot be read is passed over."""
-    reports = {}
-    for row in read.rows:
-        try:
-            value = base64.b64decode(row.value)
-            reports[LinkAddress(row.key)] = _report.decode(value)
-        except (ValueError, msgspec.MsgspecError):
-            # Written by another version: the upstream's own report comes within 2 s.
-            continue
-    return reports
+
+def check_report(report: UpstreamReport) -> UpstreamReport:
+    """Return a report that can be used.
+
+    Raises:
+        ValueError: Its address is none.
+    """
+    if not is_address(report.address):
+        raise ValueError(f"not of the form IP:PORT: {report.address}")
+    return report
--- a/bergamotcourse/state/node_settings.py
+++ b/bergamotcourse/state/node_settings.py
@@ -2,7 +2,7 @@
 
 from dataclasses import dataclass
 
-from bergamotcourse.ids import ZoneName
+from bergamotcourse.ids import ServiceName, ZoneName
 
 
 @dataclass(frozen=True)
@@ -29,6 +29,7 @@
         reports: Where an agent takes its upstream's reports.
         seeds: Links of entries that may be up.
         store: The platform's store.
+        service: Of the upstream beside an agent; empty at an entry.
         stop_seconds: From the signal to stop until the process is killed.
     """
 
@@ -40,4 +41,5 @@
     reports: Endpoint | None
     seeds: tuple[Endpoint, ...]
     store: Endpoint
+    service: ServiceName
     stop_seconds: float
