Give each run of the real programs addresses of its own, and bound its start

Cause: of two runs of the tests side by side one stood still. A soak's addresses followed from its seed alone, and all processes listen on one port for their metrics, so the processes of the second run ended at their start, and the test waited for them without end.

Change: a cluster claims a net of loopback addresses by a port that it holds as long as it lives, and a start that takes longer than 120 s fails. The replay knows upstreams of different speeds, and an upstream goes back to its own after a disturbance.

--- a/bergamotcourse/bench/replay/faults.py
+++ b/bergamotcourse/bench/replay/faults.py
@@ -56,11 +56,12 @@
 
     async def _misbehave(self, event, behaviour: Callable[[], Behaviour]) -> None:
         upstreams = [self.fleet.upstreams[n] for n in self.agents[: event.upstreams]]
+        usual = [upstream.behaviour for upstream in upstreams]
         for upstream in upstreams:
             upstream.behaviour = behaviour()
         await trio.sleep(event.seconds)
-        for upstream in upstreams:
-            upstream.behaviour = Behaviour()
+        for upstream, behaviour_before in zip(upstreams, usual, strict=True):
+            upstream.behaviour = behaviour_before
 
     async def _replace_upstreams(self, event) -> None:
         names = self.agents[: event.upstreams]
--- a/bergamotcourse/bench/replay/load_file.py
+++ b/bergamotcourse/bench/replay/load_file.py
@@ -123,6 +123,8 @@
         spread: Deviation of the logarithm of a task's time over the declared.
         error: By how much the declared times of a kind are off, up or down.
         slots: Tasks that an upstream runs at a time.
+        slowest: Times as long as at the fastest that tasks take at the slowest
+            upstream; the others lie between.
     """
 
     kinds: list[Kind]
@@ -132,6 +134,7 @@
     entries: Count = 3
     agents: Count = 10
     slots: Count = 10
+    slowest: Positive = 1.0
     spread: Seconds = 0.44
     error: Share = 0.2
 
--- a/bergamotcourse/bench/replay/run.py
+++ b/bergamotcourse/bench/replay/run.py
@@ -11,6 +11,7 @@
 from bergamotcourse.bench.replay.load_file import Burst, Kind, Load
 from bergamotcourse.bench.replay.tally import Outcome
 from bergamotcourse.coordination.jobs.policy import JobPolicy
+from bergamotcourse.standins.order_upstream import Behaviour
 from bergamotcourse.state.job_spec import JobId, JobQueue, JobSpec, StepSpec
 from bergamotcourse.state.resources import Resources
 from bergamotcourse.virtual.clock import run_virtual
@@ -148,6 +149,7 @@
             fleet = JobFleet(nursery, load.entries, load.agents, seed, policy)
             fleet.work_of = make_work(load, random.Random(seed))
             await fleet.start()
+            set_speeds(fleet, load)
             outcome = Outcome()
             await play(fleet, load, outcome)
             nursery.cancel_scope.cancel()
@@ -156,6 +158,14 @@
     return run_virtual(main, seed)
 
 
+def set_speeds(fleet: JobFleet, load: Load) -> None:
+    """Let the upstreams differ in speed, evenly from the fastest to the slowest."""
+    last = max(1, len(fleet.upstreams) - 1)
+    for place, upstream in enumerate(fleet.upstreams.values()):
+        slowness = 1 + (load.slowest - 1) * place / last
+        upstream.behaviour = Behaviour(slowness=slowness)
+
+
 async def play(fleet: JobFleet, load: Load, outcome: Outcome) -> None:
     """Let jobs arrive and events happen, and wait for the last job."""
     counted_from = trio.current_time() + WARM_UP_SECONDS
--- a/bergamotcourse/tests/platform/cluster.py
+++ b/bergamotcourse/tests/platform/cluster.py
@@ -3,7 +3,9 @@
 import base64
 import json
 import os
+import random
 import signal
+import socket
 import subprocess
 import sys
 from dataclasses import dataclass, field
@@ -28,6 +30,12 @@
 CALLER_MS = 20000
 CALL_SECONDS = 25.0
 
+START_SECONDS = 120.0
+"""Bound of a start, which takes two seconds on a free machine."""
+
+CLAIM_PORT = 9465
+"""Whoever listens on it at a net's last address has the net."""
+
 
 def make_route(name="r-1", prefix="/a/"):
     return {
@@ -115,13 +123,15 @@
     """The processes, and what surrounds them.
 
     Attributes:
-        net: The first three numbers of the addresses; one cluster has them.
+        net: The first three numbers of the addresses, claimed for this cluster alone.
+        claim: Holds ``net`` for as long as the cluster lives.
         history: All runs on all workers.
     """
 
     folder: Path
     nursery: trio.Nursery
-    net: str = "127.0.77"
+    net: str = ""
+    claim: socket.socket | None = None
     rows: Rows = field(default_factory=Rows)
     history: list[Run] = field(default_factory=list)
     nodes: dict[str, Node] = field(default_factory=dict)
@@ -131,7 +141,16 @@
     lives: int = 0
 
     async def start(self, entries: int = 1, agents: int = 1) -> None:
-        """Start all, and return once the entries are ready."""
+        """Start all, and return once the entries are ready.
+
+        Raises:
+            trio.TooSlowError: They are not in time; the folder has their logs.
+        """
+        with trio.fail_after(START_SECONDS):
+            await self._start(entries, agents)
+
+    async def _start(self, entries: int, agents: int) -> None:
+        self.claim, self.net = claim_net()
         self.configure([make_route()])
         store = await self.serve(self.rows.handle)
         link = free_port(HOME)
@@ -253,9 +272,30 @@
         return answer.is_ok() and answer.ok.status == 200
 
     def end(self) -> None:
-        """End all processes."""
+        """End all processes, and give their addresses back."""
         for node in self.nodes.values():
             node.kill()
+        if self.claim is not None:
+            self.claim.close()
+
+
+def claim_net() -> tuple[socket.socket, str]:
+    """Return a net of loopback addresses that no other cluster has, and what holds it.
+
+    All processes listen on one port for their metrics: of two clusters with the same
+    addresses, as in two runs of these tests side by side, one would never start.
+    """
+    numbers = random.SystemRandom()
+    while True:
+        net = f"127.{numbers.randint(64, 250)}.{numbers.randint(0, 250)}"
+        claim = socket.socket()
+        try:
+            claim.bind((f"{net}.254", CLAIM_PORT))
+        except OSError:
+            claim.close()
+            continue
+        claim.listen()
+        return claim, net
 
 
 async def ask(address, request, timeout=CALL_SECONDS):
--- a/bergamotcourse/tests/platform/soak/run.py
+++ b/bergamotcourse/tests/platform/soak/run.py
@@ -23,9 +23,6 @@
 LAST_JOB = 1 << 40
 """Numbers of jobs handed in after the faults."""
 
-FIRST_NET = 64
-"""Soaks that run at the same time have addresses of their own."""
-
 
 @dataclass
 class Result:
@@ -39,8 +36,7 @@
 async def run_soak(seed: int, seconds: float, folder: Path) -> Result:
     """Run the soak of a seed."""
     async with trio.open_nursery() as nursery:
-        net = f"127.{FIRST_NET + seed % 100}.{seed // 100 % 250}"
-        cluster = ProxiedCluster(folder, nursery, net)
+        cluster = ProxiedCluster(folder, nursery)
         try:
             result = await soak(cluster, seed, seconds)
         finally:
