Refuse a waiting job by its time to spare, sooner than before

Cause: how long a job may wait for its first task, 0.22 of its objective, rested on what callers are said to see as held back. What matters to them is whether waiting gets them served.

Weighed and left: to put jobs that are handed in again behind fresh ones. Their callers state less time than others of their queue, but how much the others state is unknown to a process that has just started, which is when they come.

The load of the replay that shows the learnt answer times is larger: the former had 2 and 5 late jobs, too few for its factor of three.

--- a/bergamotcourse/coordination/jobs/job_run.py
+++ b/bergamotcourse/coordination/jobs/job_run.py
@@ -16,9 +16,13 @@
 """A job's work may be so many times what was declared, which is off by 40% as a rule;
 to give up sooner would end jobs that are in time."""
 
-OFFER_SHARE = 0.22
-"""Share of the objective that a job may wait before its first task is placed: callers
-see a refusal after a quarter of it as held back; the rest is for the answer's way."""
+OFFER_SHARE = 0.35
+"""Share of the time to spare that a job may wait before its first task is placed.
+Replayed at a fifth and at a half more than the upstreams can do: between 0.15 and 0.5
+the worth earned is the same (0.853, 0.849, 0.855, 0.853; deviation of the differences
+0.007), so the caller decides. At 0.35 as many are in time as at the former 0.22 of the
+objective, 1.5% late in place of 2.6%, and a refusal is told after 112 ms in place of
+167. At 1.0 the worth is 0.04 lower: those who waited longest are late all the same."""
 
 
 class JobOutcome(Enum):
@@ -117,7 +121,7 @@
     @property
     def offer_by(self) -> float:
         """Return when its first task must be placed, or it is refused."""
-        return self.arrived + OFFER_SHARE * self.objective
+        return self.arrived + OFFER_SHARE * max(0.0, self.objective - self.work)
 
     @property
     def useless_at(self) -> float:
--- a/bergamotcourse/tests/bench/test_replay.py
+++ b/bergamotcourse/tests/bench/test_replay.py
@@ -60,15 +60,13 @@
     """Each load that a kept mechanism answers, with it and without."""
 
     def test_learnt_answer_times_when_orders_get_lost(self):
-        event = Unanswered(at=0.0, seconds=4.0, upstreams=4, share=0.05)
-        changes = {"agents": 4, "seconds": 4.0, "events": [event]}
+        event = Unanswered(at=0.0, seconds=6.0, upstreams=8, share=0.05)
+        load = {"agents": 8, "entries": 3, "seconds": 5.0, "events": [event]}
         late = [
-            sum(
-                replayed(policy, seed, **changes).kinds["check"].late for seed in (1, 2)
-            )
+            sum(replayed(policy, seed, **load).kinds["check"].late for seed in (1, 2))
             for policy in (JobPolicy(), JobPolicy.without(["learns_answer_time"]))
         ]
-        # 114 and 17 of 1,000 checks are late over more seeds of a longer load.
+        # 1.7% and 11.4% of the checks are late over more seeds.
         assert 3 * late[0] <= late[1]
 
     def test_doubt_at_once_when_upstreams_are_lost(self):
