Keep the needs of an agent's runs as sums; split off the ends of former processes

FormerEnds is a module of its own, and Executor no longer passes ends on to the book through a method that does nothing else.

--- a/bergamotcourse/coordination/jobs/executor.py
+++ b/bergamotcourse/coordination/jobs/executor.py
@@ -10,6 +10,7 @@
 import trio
 
 from bergamotcourse.coordination.event_log import EventLog
+from bergamotcourse.coordination.jobs.former_ends import FormerEnds
 from bergamotcourse.coordination.jobs.lease_terms import (
     HOLD_TIMEOUT_SECONDS,
     LAPSE_SECONDS,
@@ -38,10 +39,6 @@
 ROOM_PAUSE_SECONDS = 0.02
 """Pause after the upstream had no room although the agent counted some."""
 
-MOST_FORMER_ENDS = 1000
-"""Ends of a former process's runs that are kept: an upstream lists what ended while
-nobody asked, within two seconds or so, a few hundred at most."""
-
 DOUBTED_HOLDS = 2
 """Renewals in a row without an answer from which on nothing is started: where one order
 in twenty gets lost that happens for 0.1 s in ten seconds."""
@@ -68,7 +65,7 @@
         book: The runs.
         may_start: Asked right before an order to start whether the entry that placed
             the run is still in contact.
-        former_ends: Ends of runs that this process has not started, the oldest first.
+        former_ends: Ends of runs that this process has not started.
         born: When this process began; runs of an earlier one are over
             ``LAPSE_SECONDS`` after it.
         stopping: Nothing new is taken.
@@ -91,7 +88,7 @@
         self.born = timers.lease_now()
         self.life: UpstreamLife | None = None
         self.former: set[str] = set()
-        self.former_ends: dict[RunKey, EndKind] = {}
+        self.former_ends = FormerEnds()
         self.holds = 0
         self.paused_until = 0.0
         self.stopping = False
@@ -142,7 +139,7 @@
         self.book.add(run)
         refusal = self.refusal()
         if refusal is not None:
-            self._finish(run, Outcome.RETURNED, refusal)
+            self.book.finish(run, Outcome.RETURNED, refusal)
             return
         self.book.enqueue(run)
         self.pump()
@@ -162,9 +159,9 @@
         run = PlacedRun(key, entry, None, self.timers.now(), RunState.STOPPING)
         run.asked_start = True
         self.book.add(run)
-        kind = self.former_ends.pop(key, None)
+        kind = self.former_ends.take(key)
         if kind is not None:
-            self._finish(run, OUTCOMES[kind], kind.value)
+            self.book.finish(run, OUTCOMES[kind], kind.value)
             return
         # An order of the former process may still be on its way.
         self._spawn_stop(run)
@@ -211,7 +208,9 @@
         capacity = self.life.report.capacity
         while (run := self.book.next_that_fits(capacity)) is not None:
             if not self.may_start(run.entry):
-                self._finish(run, Outcome.RETURNED, "contact with the entry is lost")
+                self.book.finish(
+                    run, Outcome.RETURNED, "contact with the entry is lost"
+                )
                 continue
             self._start(run)
 
@@ -259,12 +258,12 @@
             case StartVerdict.NO_ROOM:
                 self._requeue(run)
             case StartVerdict.STALE:
-                self._finish(run, Outcome.STALE, verdict.value)
+                self.book.finish(run, Outcome.STALE, verdict.value)
             case StartVerdict.UNHEALTHY:
                 self.health.refused(self.timers.now())
-                self._finish(run, Outcome.RETURNED, verdict.value)
+                self.book.finish(run, Outcome.RETURNED, verdict.value)
             case _:
-                self._finish(run, Outcome.RETURNED, verdict.value)
+                self.book.finish(run, Outcome.RETURNED, verdict.value)
 
     def _started(self, run: PlacedRun) -> None:
         if run.state is RunState.STARTING:
@@ -276,7 +275,7 @@
 
     def _requeue(self, run: PlacedRun) -> None:
         if run.stop_wanted:
-            self._finish(run, Outcome.RETURNED, "no room")
+            self.book.finish(run, Outcome.RETURNED, "no room")
             return
         self.book.release(run)
         self.book.enqueue(run)
@@ -287,7 +286,7 @@
         """Return a run that found no room in time: it may find some elsewhere."""
         await trio.sleep(seconds)
         if run in self.book.queue:
-            self._finish(run, Outcome.RETURNED, "no room")
+            self.book.finish(run, Outcome.RETURNED, "no room")
 
     async def _pump_after_pause(self) -> None:
         await trio.sleep(ROOM_PAUSE_SECONDS)
@@ -304,7 +303,7 @@
         )
         match run.state:
             case RunState.QUEUED:
-                self._finish(run, Outcome.RETURNED, why)
+                self.book.finish(run, Outcome.RETURNED, why)
             case RunState.STARTING:
                 # The task that orders the start goes on here, once it has an answer,
                 # or has none.
@@ -424,7 +423,7 @@
             return
         for run in self.book.all():
             if run.occupies:
-                self._finish(run, Outcome.LOST, "its lease lapsed")
+                self.book.finish(run, Outcome.LOST, "its lease lapsed")
 
     def _take_holding(self, life: UpstreamLife, holding: Holding, number: int) -> None:
         for ended in holding.ended:
@@ -439,7 +438,7 @@
             if running is not None:
                 self._note_progress(run, running.progress, now)
             elif 0 <= run.barred < number:
-                self._finish(run, Outcome.RETURNED, "stopped before it started")
+                self.book.finish(run, Outcome.RETURNED, "stopped before it started")
         self._move_runs(now)
         self.pump()
 
@@ -473,28 +472,17 @@
     def _take_end(self, ended: EndedRun) -> None:
         run = self.book.runs.get(ended.key)
         if run is None:
-            self._keep_end(ended)
+            self.former_ends.keep(ended.key, ended.kind)
             return
         ran = self.timers.now() - run.started_at if run.started_at else 0.0
         self.health.ended(ended.kind, run, ran, self.timers.now())
         outcome = OUTCOMES[ended.kind]
         if run.moves and outcome is Outcome.STOPPED:
             outcome = Outcome.MOVED
-        self._finish(run, outcome, ended.kind.value, ran)
-
-    def _keep_end(self, ended: EndedRun) -> None:
-        """Keep the end of a former process's run, for the entry that will ask."""
-        self.former_ends[ended.key] = ended.kind
-        if len(self.former_ends) > MOST_FORMER_ENDS:
-            del self.former_ends[next(iter(self.former_ends))]
+        self.book.finish(run, outcome, ended.kind.value, ran)
 
     # Lives of the upstream.
 
-    def _finish(
-        self, run: PlacedRun, outcome: Outcome, detail: str, ran: float = 0.0
-    ) -> None:
-        self.book.finish(run, outcome, detail, ran)
-
     def _begin_life(self, report: UpstreamReport) -> None:
         now = self.timers.lease_now()
         lead = report.clock - now
@@ -536,7 +524,7 @@
         self.nursery.start_soon(life.port.aclose)
         self.book.return_waiting("the upstream is gone")
         for run in self.book.all():
-            self._finish(run, Outcome.LOST, "the upstream is gone")
+            self.book.finish(run, Outcome.LOST, "the upstream is gone")
         self.book.room_changed()
 
     def _update(self, life: UpstreamLife, report: UpstreamReport) -> None:
--- a/bergamotcourse/coordination/jobs/run_book.py
+++ b/bergamotcourse/coordination/jobs/run_book.py
@@ -23,6 +23,8 @@
         runs: All that have no outcome.
         queue: Those that wait for room.
         used: Needs of those that take room at the upstream.
+        total: Needs of all.
+        by_entry: Needs by the entry that placed them; asked for each message.
         report_end: Told each outcome.
         room_changed: Called after each outcome.
     """
@@ -34,6 +36,8 @@
         self.runs: dict[RunKey, PlacedRun] = {}
         self.queue: list[PlacedRun] = []
         self.used = NOTHING
+        self.total = NOTHING
+        self.by_entry: dict[LinkAddress, Resources] = {}
 
     def all(self) -> list[PlacedRun]:
         """Return all runs, as they are now."""
@@ -42,6 +46,8 @@
     def add(self, run: PlacedRun) -> None:
         """Take a run in."""
         self.runs[run.key] = run
+        self.total = self.total + run.needs
+        self.by_entry[run.entry] = self.committed(run.entry) + run.needs
 
     def has(self, run: PlacedRun) -> bool:
         """Return whether a run has no outcome yet."""
@@ -78,6 +84,8 @@
     ) -> None:
         """Report the outcome of a run and free its room."""
         del self.runs[run.key]
+        self.total = self.total - run.needs
+        self.by_entry[run.entry] = self.by_entry[run.entry] - run.needs
         if run in self.queue:
             self.queue.remove(run)
         if run.occupies:
@@ -101,8 +109,6 @@
 
     def committed(self, entry: LinkAddress | None = None) -> Resources:
         """Return the needs of all runs, or of those of one entry."""
-        total = NOTHING
-        for run in self.runs.values():
-            if entry is None or run.entry == entry:
-                total = total + run.needs
-        return total
+        if entry is None:
+            return self.total
+        return self.by_entry.get(entry, NOTHING)
