--- a/bergamotcourse/coordination/jobs/contacts.py
+++ b/bergamotcourse/coordination/jobs/contacts.py
@@ -336,6 +336,5 @@
             capacity=offered_capacity(executor, committed, self.timers.now()),
             committed=committed,
             yours=executor.book.committed(entry),
-            slowness=executor.health.slowness,
             on_trial=executor.health.on_trial(),
         )
--- a/bergamotcourse/coordination/jobs/job_dispatcher.py
+++ b/bergamotcourse/coordination/jobs/job_dispatcher.py
@@ -260,7 +260,6 @@
             step=task.spec,
             avoid=frozenset(task.avoid),
             zone=self.zone,
-            weighs_slowness=self.policy.weighs_slowness,
         )
         # Where it failed everywhere, it is tried anywhere.
         return choose(links, wish) or (
--- a/bergamotcourse/coordination/jobs/placement.py
+++ b/bergamotcourse/coordination/jobs/placement.py
@@ -10,10 +10,6 @@
 from bergamotcourse.coordination.jobs.agent_links import AgentLink
 from bergamotcourse.state.job_spec import StepSpec
 
-SLOWNESS_WEIGHT = 0.5
-"""How much a slow upstream counts against a full one: entries decide side by side, and
-the last free slots are those at which they collide, so fullness counts more."""
-
 FAR_WEIGHT = 0.02
 """Prefers the own zone among equals: a message to another costs bytes between zones."""
 
@@ -25,14 +21,12 @@
     Attributes:
         avoid: Names of agents where it failed.
         zone: Where its entry is.
-        weighs_slowness: Whether a slow upstream suits it less.
     """
 
     service: str
     step: StepSpec
     avoid: frozenset[str]
     zone: str
-    weighs_slowness: bool = True
 
 
 def choose(links: list[AgentLink], wish: Wish) -> AgentLink | None:
@@ -65,5 +59,4 @@
     capacity = max(1, link.room.capacity.cpu)
     fullness = (link.load_cpu() + wish.step.needs.cpu) / capacity
     far = FAR_WEIGHT if link.zone != wish.zone else 0.0
-    slowness = link.room.slowness if wish.weighs_slowness else 0.0
-    return fullness + SLOWNESS_WEIGHT * slowness + far
+    return fullness + far
--- a/bergamotcourse/coordination/jobs/policy.py
+++ b/bergamotcourse/coordination/jobs/policy.py
@@ -15,7 +15,6 @@
     Attributes:
         learns_estimates: Declared times are corrected by what tasks have taken.
         puts_urgent_first: Waiting jobs go by when they must start, not by arrival.
-        weighs_slowness: A slower upstream is chosen later than an equally full one.
         tells_some_of_room: Two waiting entries hear of a freed slot, not all.
         tells_unseen_room: An entry that begins to wait hears of room it missed.
         tries_upstreams: A failing, stalled or slow upstream gets one task at a time.
@@ -31,7 +30,6 @@
 
     learns_estimates: bool = True
     puts_urgent_first: bool = True
-    weighs_slowness: bool = True
     tells_some_of_room: bool = True
     tells_unseen_room: bool = True
     tries_upstreams: bool = True
--- a/bergamotcourse/protocol/task_messages.py
+++ b/bergamotcourse/protocol/task_messages.py
@@ -81,7 +81,6 @@
         capacity: Of the upstream; nothing while it takes no tasks.
         committed: Needs of all that runs or waits at the agent.
         yours: The part of ``committed`` that the receiver has placed.
-        slowness: How many times longer than declared its tasks take.
         on_trial: The upstream fails, stalls or delays what it runs: it gets one task
             at a time.
     """
@@ -91,7 +90,6 @@
     capacity: Resources
     committed: Resources
     yours: Resources
-    slowness: float
     on_trial: bool
 
 
