--- a/bergamotcourse/tests/platform/test_store.py
+++ b/bergamotcourse/tests/platform/test_store.py
@@ -19,6 +19,17 @@
 from bergamotcourse.transport.http_server import HttpServer
 
 ENTRY = LinkAddress("tcp://10.0.0.1:7720")
+REPORT = UpstreamReport(
+    id=UpstreamId("i-1"),
+    service=ServiceName("votes"),
+    address="10.0.0.9:8080",
+    zone=ZoneName("north"),
+    capacity=Resources(1, 2, 3),
+    labels=("a", "rack-1"),
+    draining=False,
+    sequence=4,
+    clock=1.5,
+)
 
 
 def with_store(rows, use):
@@ -94,21 +105,9 @@
 
 class TestUpstreams:
     def test_are_kept_as_reported(self):
-        report = UpstreamReport(
-            UpstreamId("i-1"),
-            ServiceName("votes"),
-            "10.0.0.9:8080",
-            ZoneName("north"),
-            Resources(1, 2, 3),
-            ("a", "rack-1"),
-            False,
-            4,
-            1.5,
-        )
-
         async def use(store):
-            assert (await store.put_upstream(ENTRY, report, 1.0)).is_ok()
-            assert (await store.read_upstreams(1.0)).ok == {ENTRY: report}
+            assert (await store.put_upstream(ENTRY, REPORT, 1.0)).is_ok()
+            assert (await store.read_upstreams(1.0)).ok == {ENTRY: REPORT}
 
         with_store(Rows(), use)
 
@@ -159,6 +158,9 @@
 """Rows that name no process of ours."""
 
 
+OWN_ROW = msgspec.json.encode({"key": ENTRY, "value": ""})
+
+
 class TestRowsOfAnotherWriter:
     def test_name_no_entry_and_hide_none(self):
         rows = ForeignRows("entries", FOREIGN_ROWS)
@@ -175,21 +177,10 @@
     def test_name_no_upstream_and_hide_none(self):
         unreadable = {"key": ENTRY, "value": base64.b64encode(b"\xc1\xff").decode()}
         rows = ForeignRows("upstreams", [*FOREIGN_ROWS, unreadable])
-        report = UpstreamReport(
-            UpstreamId("i-1"),
-            ServiceName("votes"),
-            "10.0.0.9:8080",
-            ZoneName("north"),
-            Resources(1, 2, 3),
-            (),
-            False,
-            4,
-            1.0,
-        )
 
         async def use(store):
-            await store.put_upstream(ENTRY, report, 1.0)
-            assert (await store.read_upstreams(1.0)).ok == {ENTRY: report}
+            await store.put_upstream(ENTRY, REPORT, 1.0)
+            assert (await store.read_upstreams(1.0)).ok == {ENTRY: REPORT}
 
         lines = with_store(rows, use)
         assert len(lines) == len(FOREIGN_ROWS) + 1
@@ -221,6 +212,3 @@
         read = StoreRows(1, store._decode_rows("entries", map(msgspec.Raw, rows)))
         assert ENTRY in store._entries_in(read)
         assert store._upstreams_in(read) == {}
-
-
-OWN_ROW = msgspec.json.encode({"key": ENTRY, "value": ""})
