Skip a row of the store that is nested too deep, as reports are

Cause: found on reading the change again. Rows were decoded by msgspec directly, which raises RecursionError for deep nesting; that is no ValueError, so it would have ended the task that reads the store, and the process with it. The adapter already has `decode`, which tells such a document as malformed; reports, jobs and configurations use it.

Ruled out: the value of a row, which is text; msgpack in it is refused with an error that was handled.

Change: the answer to a read and each row are decoded by the same `decode`. The new test failed with RecursionError before.

--- a/bergamotcourse/platform/store.py
+++ b/bergamotcourse/platform/store.py
@@ -10,6 +10,7 @@
 from bergamotcourse.coordination.event_log import EventLog
 from bergamotcourse.errors import Step, StepError
 from bergamotcourse.ids import LinkAddress
+from bergamotcourse.platform.documents import decode
 from bergamotcourse.platform.settings_file import is_address
 from bergamotcourse.protocol.job_store import ConfigRead, HistoryGoneError
 from bergamotcourse.protocol.upstream_orders import UpstreamReport
@@ -156,7 +157,7 @@
         if answer.ok.status != 200:
             return self._refused(answer.ok.status)
         try:
-            read = _rows.decode(answer.ok.body)
+            read = decode(_rows, answer.ok.body)
         except ValueError as error:
             return Error(StepError(Step.DECODE, self.client.peer, str(error)))
         return Ok(Rows(read.ver, self._decode_rows(table, read.rows)))
@@ -165,7 +166,7 @@
         rows = []
         for one in raw:
             try:
-                rows.append(_row.decode(one))
+                rows.append(decode(_row, one))
             except ValueError as error:
                 self._skip(
                     table, WireRow(bytes(one)[:MOST_KEY].decode("latin-1")), error
--- a/bergamotcourse/tests/platform/test_store.py
+++ b/bergamotcourse/tests/platform/test_store.py
@@ -197,6 +197,12 @@
 
         with_store(rows, use)
 
+    def test_nested_too_deep_to_be_read_hides_none(self):
+        nested = b'{"x":' + b"[" * 100_000 + b"]" * 100_000 + b"}"
+        store = Store(Endpoint("127.0.0.1", 1), EventLog())
+        rows = [msgspec.Raw(nested), msgspec.Raw(OWN_ROW)]
+        assert [row.key for row in store._decode_rows("entries", rows)] == [ENTRY]
+
     @given(
         st.lists(
             st.dictionaries(
