--- a/bergamotcourse/bench/replay/report.py
+++ b/bergamotcourse/bench/replay/report.py
@@ -1,5 +1,6 @@
 """A comparison as a table, and as a plot."""
 
+import statistics
 from pathlib import Path
 
 from bergamotcourse.bench.replay.compare import Interval, Row
@@ -50,8 +51,8 @@
 
 def median_refusal(outcome: Outcome) -> float:
     """Return the median of the seconds to a refusal; 0 without any."""
-    waits = sorted(outcome.total.refusals)
-    return waits[len(waits) // 2] if waits else 0.0
+    waits = outcome.total.refusals
+    return statistics.median_high(waits) if waits else 0.0
 
 
 def draw(rows: list[Row], path: Path) -> None:
--- a/bergamotcourse/commands/replay.py
+++ b/bergamotcourse/commands/replay.py
@@ -19,9 +19,14 @@
     file: str, without: list[str], seeds: range, jobs: int, plot: str | None
 ) -> int:
     """Replay a load file under policies, print a table; return the exit code."""
+    try:
+        compared = policies(without)
+    except ValueError as error:
+        click.echo(f"error: {error}", err=True)
+        return ExitCode.INVALID
     match read_load(file):
         case Result(tag="ok", ok=load):
-            show(load, policies(without), seeds, jobs, plot)
+            show(load, compared, seeds, jobs, plot)
             return ExitCode.OK
         case Result(error=issues):
             click.echo("\n".join(str(issue) for issue in issues), err=True)
--- a/bergamotcourse/tests/platform/soak/standstill.py
+++ b/bergamotcourse/tests/platform/soak/standstill.py
@@ -6,6 +6,7 @@
 
 import trio
 
+from bergamotcourse.tests.platform.soak.faults import AFTERMATH_SECONDS
 from bergamotcourse.tests.platform.soak.records import Harm, Records
 
 LOOK_SECONDS = 0.1
@@ -13,9 +14,6 @@
 MARGIN_SECONDS = 1.0
 """By so much callers wait longer than they say: a shorter one costs no answer."""
 
-AFTERMATH_SECONDS = 5.0
-"""For how long after a standstill its effects may show at callers."""
-
 
 async def watch_standstills(records: Records, entries: list[str]) -> None:
     """Note each standstill as a harm to all callers, until cancelled."""
--- a/bergamotcourse/tests/platform/soak/test_standstill.py
+++ b/bergamotcourse/tests/platform/soak/test_standstill.py
@@ -1,9 +1,9 @@
 import trio
 import trio.testing
 
+from bergamotcourse.tests.platform.soak.faults import AFTERMATH_SECONDS
 from bergamotcourse.tests.platform.soak.records import Records, Seen
 from bergamotcourse.tests.platform.soak.standstill import (
-    AFTERMATH_SECONDS,
     LOOK_SECONDS,
     MARGIN_SECONDS,
     watch_standstills,
