Carry the messages between entries and agents in datagrams

Cause: on a grown deployment most of the processor time of agents and entries goes to messages, and nng passes each through its threads: several wake-ups and system calls. Change: a link over UDP behind the same interface; items were numbered and confirmed already.

--- a/bergamotcourse/daemons/job_process.py
+++ b/bergamotcourse/daemons/job_process.py
@@ -20,9 +20,9 @@
 from bergamotcourse.ids import LinkAddress
 from bergamotcourse.protocol.mailer import Mailer
 from bergamotcourse.state.node_settings import Endpoint, NodeSettings
+from bergamotcourse.transport.datagram_link import SCHEME, DatagramLink
 from bergamotcourse.transport.http import Handler
 from bergamotcourse.transport.http_server import HttpServer, ServerLimits
-from bergamotcourse.transport.nng_link import NngLink
 
 WITHOUT_VARIABLE = "BERGAMOTCOURSE_WITHOUT"
 """Names mechanisms to switch off, with commas, to tell what each is worth."""
@@ -30,9 +30,6 @@
 SETTINGS_SECONDS = 2.0
 """Between looks at settings that change without a signal."""
 
-RECONNECT_MS = 100
-"""A process is back within a second or two: its peers find it a tenth of one later."""
-
 METRICS_PORT = 9464
 """Where the metrics are served; the deployment tells it to those who read them."""
 
@@ -54,7 +51,7 @@
 
 def link_address(endpoint: Endpoint) -> LinkAddress:
     """Return the link address of an endpoint."""
-    return LinkAddress(f"tcp://{endpoint}")
+    return LinkAddress(f"{SCHEME}{endpoint}")
 
 
 def policy_in_force() -> JobPolicy:
@@ -91,8 +88,9 @@
         self.metrics = JobMetrics()
         self.log = EventLog(self._sink)
         where = self.settings.link
-        link = NngLink(where.host, where.port, reconnect_ms=RECONNECT_MS)
-        self.mailer = Mailer(link, rng=self.rng)
+        self.mailer = Mailer(
+            DatagramLink(where.host, where.port, self.rng), rng=self.rng
+        )
         self.address = link_address(where)
         self.store = platform.store(self.settings, self.log)
 
--- a/bergamotcourse/platform/store.py
+++ b/bergamotcourse/platform/store.py
@@ -15,6 +15,7 @@
 from bergamotcourse.protocol.job_store import ConfigRead, HistoryGoneError
 from bergamotcourse.protocol.upstream_orders import UpstreamReport
 from bergamotcourse.state.node_settings import Endpoint
+from bergamotcourse.transport.datagram_link import SCHEME
 from bergamotcourse.transport.http import HttpRequest
 from bergamotcourse.transport.http_client import HttpClient
 
@@ -24,9 +25,6 @@
 UPSTREAM_TABLE = "upstreams"
 HISTORY_GONE_STATUS = 410
 
-LINK_SCHEME = "tcp://"
-"""Begins the addresses of our processes."""
-
 MOST_KEY = 80
 """Bytes of an unreadable row that are logged, to find it by."""
 
@@ -238,7 +236,7 @@
     Raises:
         ValueError: It is none; a greeting to it would be tried again and again.
     """
-    if not key.startswith(LINK_SCHEME) or not is_address(key.removeprefix(LINK_SCHEME)):
+    if not key.startswith(SCHEME) or not is_address(key.removeprefix(SCHEME)):
         raise ValueError("the key is no address of a process")
     return LinkAddress(key)
 
--- a/bergamotcourse/tests/platform/test_store.py
+++ b/bergamotcourse/tests/platform/test_store.py
@@ -18,7 +18,7 @@
 from bergamotcourse.tests.platform.standins import Rows
 from bergamotcourse.transport.http_server import HttpServer
 
-ENTRY = LinkAddress("tcp://10.0.0.1:7720")
+ENTRY = LinkAddress("udp://10.0.0.1:7720")
 REPORT = UpstreamReport(
     id=UpstreamId("i-1"),
     service=ServiceName("votes"),
@@ -146,10 +146,11 @@
 FOREIGN_ROWS = [
     {"value": ""},
     {"key": 7, "value": "x"},
-    {"key": "tcp://10.0.0.9:7720", "value": [1]},
-    {"key": "tcp://nowhere:7720", "value": "AAAA"},
+    {"key": "udp://10.0.0.9:7720", "value": [1]},
+    {"key": "udp://nowhere:7720", "value": "AAAA"},
     {"key": "10.0.0.9:7720", "value": "AAAA"},
-    {"key": "tcp://10.0.0.9:99999", "value": "?"},
+    {"key": "tcp://10.0.0.9:7720", "value": "AAAA"},
+    {"key": "udp://10.0.0.9:99999", "value": "?"},
     {"key": "", "value": "", "ver": "x"},
     None,
     [],
