--- /dev/null
+++ b/bergamotcourse/coordination/jobs/agent_link.py
@@ -0,0 +1,184 @@
+"""What an entry knows of one agent, and whether it may place tasks there.
+
+Load it answers: hundreds of agents, of which an entry uses some dozens at a time. With
+those it is in contact: they are heard several times a second, and what is placed there
+starts at once. The others are heard rarely. A run that is placed at one of these starts
+only once a message of the agent has come after it and was echoed, so until then it can
+be taken back with certainty.
+"""
+
+from dataclasses import dataclass, field
+from typing import Any
+
+from bergamotcourse.coordination.jobs.item_stream import Incoming, Outgoing
+from bergamotcourse.coordination.jobs.lease_terms import (
+    OPEN_SECONDS,
+    OVER_SECONDS,
+    REACH_SECONDS,
+    SILENT_SECONDS,
+)
+from bergamotcourse.ids import LinkAddress
+from bergamotcourse.protocol.task_messages import (
+    AgentRoom,
+    AgentTurn,
+    PlaceTask,
+    TaskEnded,
+    WithdrawTask,
+)
+from bergamotcourse.protocol.upstream_orders import RunKey
+from bergamotcourse.state.resources import NOTHING, Resources
+
+MISSED_MESSAGES = 2
+"""Rare messages of an agent that may be lost before nothing is placed there."""
+
+
+@dataclass
+class AgentLink:
+    """An agent.
+
+    Attributes:
+        boot: Of the agent's process.
+        session: The last that the agent has begun with this entry.
+        heard_at: When it last sent something.
+        next: Seconds after which it sends again, as it said then.
+        echo_ms: The agent's clock in its last message.
+        over: The runs of this session were given up here; it is not used any more.
+        opened_at: When the first run was placed without contact; ``None`` if there was
+            contact, or an answer since.
+        unanswered: It left such a run unanswered, and has not been heard since.
+        placed: The runs that have no outcome yet, with what the dispatcher keeps.
+        pending: Needs of the runs in ``placed``.
+        former: Runs that were placed at an earlier process of the agent.
+    """
+
+    address: LinkAddress
+    name: str
+    zone: str
+    boot: int = 0
+    session: int = 0
+    heard_at: float = 0.0
+    next: float = 0.0
+    echo_ms: int = 0
+    sent_at: float = -1e9
+    echoed: bool = True
+    over: bool = False
+    opened_at: float | None = None
+    unanswered: bool = False
+    room: AgentRoom | None = None
+    out: Outgoing[PlaceTask | WithdrawTask] = field(default_factory=Outgoing)
+    incoming: Incoming[TaskEnded] = field(default_factory=Incoming)
+    placed: dict[RunKey, Any] = field(default_factory=dict)
+    needs: dict[RunKey, Resources] = field(default_factory=dict)
+    pending: Resources = NOTHING
+    former: set[RunKey] = field(default_factory=set)
+
+    # What may be done with it.
+
+    def in_contact(self, now: float) -> bool:
+        """Return whether runs that are placed there start at once."""
+        silent = now - self.heard_at
+        return silent <= SILENT_SECONDS and not self.over and self.room is not None
+
+    def is_opening(self, now: float) -> bool:
+        """Return whether it may answer a placement without contact yet."""
+        return self.opened_at is not None and now - self.opened_at < OPEN_SECONDS
+
+    def may_ask(self, now: float) -> bool:
+        """Return whether an agent without contact is likely to answer."""
+        if self.over or self.unanswered or self.placed or self.room is None:
+            return False
+        silent = now - self.heard_at
+        return SILENT_SECONDS < silent <= MISSED_MESSAGES * self.next + REACH_SECONDS
+
+    def may_open(self, now: float) -> bool:
+        """Return whether a run may be placed there without contact.
+
+        Not before ``REACH_SECONDS``: an echo sent before may give contact until then.
+        """
+        return self.may_ask(now) and now - self.heard_at >= REACH_SECONDS
+
+    def is_lost(self, now: float) -> bool:
+        """Return whether all runs there are over, whatever became of the agent."""
+        if self.over or self.opened_at is not None or not self.placed:
+            return False
+        return now - self.heard_at > OVER_SECONDS
+
+    # Load.
+
+    def load(self) -> Resources:
+        """Return the needs of all runs there, with those just placed."""
+        return self.room.committed - self.room.yours + self.pending
+
+    def free(self) -> Resources:
+        """Return the room that is left there."""
+        return self.room.capacity - self.load()
+
+    def load_cpu(self) -> int:
+        """Return the processor part of ``load``, without making an amount of it.
+
+        It is asked of each agent for each task that is placed.
+        """
+        return self.room.committed.cpu - self.room.yours.cpu + self.pending.cpu
+
+    # Runs and messages.
+
+    def add(self, key: RunKey, needs: Resources, owner: Any) -> None:
+        """Note a run that is placed there."""
+        self.placed[key] = owner
+        self.needs[key] = needs
+        self.pending = self.pending + needs
+
+    def drop(self, key: RunKey) -> Any:
+        """Forget a run and return its owner, or ``None``."""
+        owner = self.placed.pop(key, None)
+        self.former.discard(key)
+        if owner is not None:
+            self.pending = self.pending - self.needs.pop(key)
+        return owner
+
+    def hear(self, turn: AgentTurn, now: float) -> list[TaskEnded]:
+        """Take a message of the session, and return the outcomes that are new."""
+        self.heard_at = now
+        self.opened_at = None
+        self.unanswered = False
+        self.echoed = False
+        if turn.sent_ms >= self.echo_ms:
+            # Datagrams overtake each other; an older one tells an older load.
+            self.echo_ms = turn.sent_ms
+            self.next = turn.next_ms / 1000
+            self.room = turn.room
+        self.out.confirm(turn.seen, now)
+        return self.incoming.accept(turn.first, turn.items)
+
+    def take_back(self) -> list[RunKey]:
+        """Bar the runs of a placement that was left unanswered, and return them.
+
+        No message was echoed since they were placed, so none of them has started. What
+        the agent may have received is withdrawn; in place of the rest, which may yet be
+        sent again, stands the withdrawal too.
+        """
+        self.opened_at = None
+        self.unanswered = True
+        keys = list(self.placed)
+        self.out.replace(withdrawal_of)
+        for key in keys:
+            self.out.add(WithdrawTask(key))
+        return keys
+
+    def begin_session(self, boot: int, session: int) -> None:
+        """Begin a session, in which all that has no outcome is asked for."""
+        if boot != self.boot:
+            self.former = set(self.placed)
+        self.boot = boot
+        self.session = session
+        self.echo_ms = 0
+        self.over = False
+        self.out = Outgoing()
+        self.incoming = Incoming()
+        for key in self.placed:
+            self.out.add(WithdrawTask(key))
+
+
+def withdrawal_of(item: PlaceTask | WithdrawTask) -> WithdrawTask:
+    """Return the withdrawal of an item's run."""
+    return WithdrawTask(item.key)
--- a/bergamotcourse/coordination/jobs/agent_links.py
+++ b/bergamotcourse/coordination/jobs/agent_links.py
@@ -1,26 +1,22 @@
 """The entry's links to agents: who can be placed at, and what is placed where."""
 
+import random
 from collections.abc import Callable
-from dataclasses import dataclass, field
 from typing import Any
 
 import trio
 
 from bergamotcourse.coordination.event_log import EventLog
-from bergamotcourse.coordination.jobs.item_stream import Incoming, Outgoing
-from bergamotcourse.coordination.jobs.lease_terms import (
-    ECHO_SECONDS,
-    OVER_SECONDS,
-    SILENT_SECONDS,
-)
+from bergamotcourse.coordination.jobs.agent_link import AgentLink
+from bergamotcourse.coordination.jobs.lease_terms import ECHO_SECONDS
 from bergamotcourse.coordination.jobs.send_soon import SendSoon
 from bergamotcourse.coordination.timers import Timers
 from bergamotcourse.ids import LinkAddress
 from bergamotcourse.protocol.mailer import Mailer
 from bergamotcourse.protocol.task_messages import (
     NEVER_RAN,
-    AgentRoom,
     AgentTurn,
+    EndSession,
     EntryTurn,
     Outcome,
     PlaceTask,
@@ -28,76 +24,23 @@
     WithdrawTask,
 )
 from bergamotcourse.protocol.upstream_orders import RunKey
-from bergamotcourse.state.resources import NOTHING, Resources
+from bergamotcourse.state.resources import Resources
 
 TICK_SECONDS = 0.03
-"""Between two looks at what is due; a third of ``ECHO_SECONDS``."""
+"""Between two looks at what is due; half of ``ECHO_SECONDS``."""
 
 FORGET_SECONDS = 30.0
 """An agent that was silent for so long is forgotten."""
 
+ASKED_AT_ONCE = 2
+"""Agents without contact that an entry with waiting tasks asks for room in each look:
+70 a second, so that it has heard of all rooms near it before a short job is late."""
 
-@dataclass
-class AgentLink:
-    """What an entry knows of one agent.
-
-    Attributes:
-        boot: Of the agent's process.
-        session: The last that the agent has begun with this entry.
-        heard_at: When it last sent something.
-        echo_ms: The agent's clock in its last message.
-        over: The runs of this session were given up here; it is not used any more.
-        placed: The runs that have no outcome yet, with what the dispatcher keeps.
-        pending: Needs of the runs in ``placed``.
-        former: Runs that were placed at an earlier process of the agent.
-    """
-
-    address: LinkAddress
-    name: str
-    zone: str
-    boot: int = 0
-    session: int = 0
-    heard_at: float = 0.0
-    echo_ms: int = 0
-    sent_at: float = -1e9
-    echoed: bool = True
-    over: bool = False
-    room: AgentRoom | None = None
-    out: Outgoing[PlaceTask | WithdrawTask] = field(default_factory=Outgoing)
-    incoming: Incoming = field(default_factory=Incoming)
-    placed: dict[RunKey, Any] = field(default_factory=dict)
-    needs: dict[RunKey, Resources] = field(default_factory=dict)
-    pending: Resources = NOTHING
-    former: set[RunKey] = field(default_factory=set)
-
-    def load(self) -> Resources:
-        """Return the needs of all runs there, with those just placed."""
-        return self.room.committed - self.room.yours + self.pending
-
-    def free(self) -> Resources:
-        """Return the room that is left there."""
-        return self.room.capacity - self.load()
-
-    def load_cpu(self) -> int:
-        """Return the processor part of ``load``, without making an amount of it.
-
-        It is asked of each agent for each task that is placed.
-        """
-        return self.room.committed.cpu - self.room.yours.cpu + self.pending.cpu
-
-    def add(self, key: RunKey, needs: Resources, owner: Any) -> None:
-        """Note a run that is placed there."""
-        self.placed[key] = owner
-        self.needs[key] = needs
-        self.pending = self.pending + needs
-
-    def drop(self, key: RunKey) -> Any:
-        """Forget a run and return its owner, or ``None``."""
-        owner = self.placed.pop(key, None)
-        self.former.discard(key)
-        if owner is not None:
-            self.pending = self.pending - self.needs.pop(key)
-        return owner
+MOST_CONTACTS = 32
+"""Agents in contact up to which an entry with waiting tasks asks further ones. A slot
+of these gets free each 3 ms where tasks take 0.6 s and an agent runs six; were all
+entries to ask all agents in a burst, their messages would take the time that the work
+needs."""
 
 
 class AgentLinks:
@@ -106,6 +49,7 @@
     Attributes:
         entry: Name of the entry.
         boot: Of this process; rises with each process of the entry.
+        rng: Draws the agents that are asked for room.
         on_end: Called with the owner of a run, its link, and its outcome.
         on_settled: Called after the outcomes of one message, or of one lost agent.
         on_room: Called when an agent has told its load.
@@ -113,10 +57,17 @@
     """
 
     def __init__(
-        self, entry: str, boot: int, mailer: Mailer, timers: Timers, log: EventLog
+        self,
+        entry: str,
+        boot: int,
+        mailer: Mailer,
+        timers: Timers,
+        log: EventLog,
+        rng: random.Random | None = None,
     ):
         self.entry = entry
         self.boot = boot
+        self.rng = rng or random.Random()
         self.mailer = mailer
         self.timers = timers
         self.log = log
@@ -136,18 +87,30 @@
                 await trio.sleep(TICK_SECONDS)
 
     def usable(self) -> list[AgentLink]:
-        """Return the agents that may get tasks now."""
-        oldest = self.timers.now() - SILENT_SECONDS
+        """Return the agents in contact, and those that are about to be."""
+        now = self.timers.now()
         return [
             link
             for link in self.links.values()
-            if link.heard_at >= oldest and not link.over and link.room is not None
+            if link.in_contact(now) or link.is_opening(now)
         ]
 
+    def openable(self) -> list[AgentLink]:
+        """Return the agents without contact at which a run may be placed."""
+        now = self.timers.now()
+        return [link for link in self.links.values() if link.may_open(now)]
+
+    def known(self) -> list[AgentLink]:
+        """Return all agents at which a run may be placed."""
+        return self.usable() + self.openable()
+
     def place(
         self, link: AgentLink, order: PlaceTask, needs: Resources, owner: Any
     ) -> None:
         """Place a run at an agent."""
+        now = self.timers.now()
+        if not link.in_contact(now) and link.opened_at is None:
+            link.opened_at = now
         link.add(order.key, needs, owner)
         link.out.add(order)
         self._mark(link)
@@ -173,13 +136,14 @@
         if (turn.boot, turn.session) > (link.boot, link.session):
             self._begin_session(link, turn)
         if link.over:
+            # The agent may keep the session on, as it has no runs to give up.
+            self.mailer.post(sender, EndSession(link.boot, link.session))
             return
-        link.heard_at = self.timers.now()
-        link.echo_ms = max(link.echo_ms, turn.sent_ms)
-        link.echoed = False
-        link.room = turn.room
-        link.out.confirm(turn.seen)
-        fresh = link.incoming.accept(turn.first, turn.items)
+        was_opening = link.opened_at is not None
+        fresh = link.hear(turn, self.timers.now())
+        if was_opening:
+            # What was placed there waits for the echo.
+            self._mark(link)
         for ended in fresh:
             self._end(link, ended)
         if fresh:
@@ -194,7 +158,6 @@
             return
         self.log.write("agent.left", agent=link.name)
         self._give_up(link, "the agent has stopped")
-        self.mailer.forget(sender)
 
     def _begin_session(self, link: AgentLink, turn: AgentTurn) -> None:
         self.log.write(
@@ -205,19 +168,9 @@
             unsettled=len(link.placed),
             quiet_ms=round((self.timers.now() - link.heard_at) * 1000),
         )
-        if link.session:
-            # The connection may be dead without a sign; what it holds is void.
-            self.mailer.forget(link.address)
-        if turn.boot != link.boot:
-            link.former = set(link.placed)
-        link.boot = turn.boot
-        link.session = turn.session
-        link.echo_ms = 0
-        link.over = False
-        link.out = Outgoing()
-        link.incoming = Incoming()
-        for key in link.placed:
-            link.out.add(WithdrawTask(key))
+        if link.opened_at is not None:
+            self._take_back(link, "its agent has begun a new session")
+        link.begin_session(turn.boot, turn.session)
         self._mark(link)
 
     def _end(self, link: AgentLink, ended: TaskEnded) -> None:
@@ -235,24 +188,46 @@
             self._end(link, TaskEnded(key, Outcome.LOST, 0.0, why))
         self.on_settled()
 
+    def _take_back(self, link: AgentLink, why: str) -> None:
+        """Take back what was placed without contact; none of it has started."""
+        self.log.write("agent.unanswered", agent=link.name, runs=len(link.placed))
+        for key in link.take_back():
+            self._end(link, TaskEnded(key, Outcome.RETURNED, 0.0, why))
+        self.on_settled()
+
     def _tick(self) -> None:
         now = self.timers.now()
         for link in list(self.links.values()):
-            silent = now - link.heard_at
-            if silent > OVER_SECONDS and not link.over:
-                self.log.write(
-                    "agent.lost", agent=link.name, runs=len(link.placed), silent=silent
-                )
-                link.over = True
-                self._give_up(link, "the agent is silent")
-                self.mailer.forget(link.address)
-            if silent > FORGET_SECONDS:
+            if link.opened_at is not None and not link.is_opening(now):
+                self._take_back(link, "its agent does not answer")
+            if link.is_lost(now):
+                self._lose(link, now - link.heard_at)
+            if now - link.heard_at > FORGET_SECONDS:
                 del self.links[link.address]
             elif self._is_due(link, now):
                 self._mark(link)
+        if self.is_waiting():
+            self._ask_further()
+
+    def _lose(self, link: AgentLink, silent: float) -> None:
+        self.log.write(
+            "agent.lost", agent=link.name, runs=len(link.placed), silent=silent
+        )
+        link.over = True
+        self._give_up(link, "the agent is silent")
+
+    def _ask_further(self) -> None:
+        """Ask some agents without contact for room."""
+        now = self.timers.now()
+        near = [link for link in self.links.values() if link.in_contact(now)]
+        if len(near) >= MOST_CONTACTS:
+            return
+        others = [link for link in self.links.values() if link.may_ask(now)]
+        for link in self.rng.sample(others, min(ASKED_AT_ONCE, len(others))):
+            self._mark(link)
 
     def _is_due(self, link: AgentLink, now: float) -> bool:
-        if link.over:
+        if link.over or link.unanswered:
             return False
         if link.out.is_late(now):
             return True
@@ -263,11 +238,13 @@
 
     def _send_to(self, address: LinkAddress) -> None:
         link = self.links.get(address)
-        if link is not None and not link.over:
+        if link is not None and not link.over and not link.unanswered:
             self._send(link)
 
     def _send(self, link: AgentLink) -> None:
         now = self.timers.now()
+        if link.out.is_late(now):
+            self.log.write("items.sent_again", peer=link.name)
         link.sent_at = now
         link.echoed = True
         first, items = link.out.take(now)
--- a/bergamotcourse/coordination/jobs/contacts.py
+++ b/bergamotcourse/coordination/jobs/contacts.py
@@ -2,21 +2,15 @@
 
 An agent keeps the runs of an entry only while that entry answers. When it has not for
 ``CONTACT_SECONDS``, the agent ends its runs and begins a new session; nothing that was
-sent in the former one is taken any more.
+sent in the former one is taken any more. An entry without runs here needs no lease: its
+next run is held until it has echoed a message that was sent after the run came.
 """
 
-from dataclasses import dataclass, field
-
 import trio
 
 from bergamotcourse.coordination.event_log import EventLog
+from bergamotcourse.coordination.jobs.entry_contact import EntryContact, lease_end_of
 from bergamotcourse.coordination.jobs.executor import Executor
-from bergamotcourse.coordination.jobs.item_stream import Incoming, Outgoing
-from bergamotcourse.coordination.jobs.lease_terms import (
-    CONTACT_SECONDS,
-    HEARTBEAT_SECONDS,
-    IDLE_HEARTBEAT_SECONDS,
-)
 from bergamotcourse.coordination.jobs.policy import JobPolicy
 from bergamotcourse.coordination.jobs.send_soon import SendSoon
 from bergamotcourse.coordination.jobs.trial import offered_capacity
@@ -27,18 +21,16 @@
 from bergamotcourse.protocol.task_messages import (
     AgentRoom,
     AgentTurn,
+    EndSession,
     EntryTurn,
     Farewell,
     Hello,
+    Outcome,
     PlaceTask,
     TaskEnded,
     WithdrawTask,
 )
-from bergamotcourse.state.resources import NOTHING
-
-ABSENT_HEARTBEAT_SECONDS = 0.5
-"""Between the messages to an entry that does not answer, each on a new connection: one
-to a machine without power would be tried again only after seconds."""
+from bergamotcourse.protocol.upstream_orders import RunKey
 
 FORGET_SECONDS = 30.0
 """An entry that has not answered for so long is forgotten; a new one makes itself
@@ -53,33 +45,6 @@
 """Between two looks at what is due; below half a heartbeat."""
 
 
-@dataclass
-class EntryContact:
-    """What an agent knows of one entry.
-
-    Attributes:
-        entry_boot: Of the entry's process; 0 before it has answered.
-        session: Rises each time the runs of the entry were given up.
-        lease_end: Until when its runs are kept; ``None`` while there is no lease.
-        heard_at: When it last answered, or became known.
-        waiting: It wants to be told of room.
-        told_at: When it was last told of room.
-        told_left: The processor room that the last message left to it.
-    """
-
-    address: LinkAddress
-    heard_at: float
-    entry_boot: int = 0
-    session: int = 1
-    lease_end: float | None = None
-    sent_at: float = -1e9
-    waiting: bool = False
-    told_at: float = 0.0
-    told_left: int = 0
-    out: Outgoing[TaskEnded] = field(default_factory=Outgoing)
-    incoming: Incoming = field(default_factory=Incoming)
-
-
 class Contacts:
     """The entries that an agent works for.
 
@@ -133,6 +98,8 @@
                 self.learn([sender, *message.entries] if not message.agent else [])
             case Farewell():
                 self._forget(sender, "it has stopped")
+            case EndSession():
+                self._take_end_of_session(sender, message)
             case _:
                 self.log.write("message.unexpected", peer=sender)
 
@@ -148,7 +115,7 @@
     def in_contact(self, entry: LinkAddress) -> bool:
         """Return whether the runs of an entry may start."""
         contact = self.entries.get(entry)
-        return contact is not None and self._has_lease(contact)
+        return contact is not None and contact.has_lease(self.timers.lease_now())
 
     def report_end(self, entry: LinkAddress, ended: TaskEnded) -> None:
         """Send an outcome to the entry that placed the run."""
@@ -172,10 +139,11 @@
 
     def all_confirmed(self) -> bool:
         """Return whether the entries in contact have received all outcomes."""
+        now = self.timers.lease_now()
         return not any(
             contact.out.items
             for contact in self.entries.values()
-            if self._has_lease(contact)
+            if contact.has_lease(now)
         )
 
     def say_farewell(self) -> None:
@@ -189,24 +157,23 @@
     def _take_turn(self, sender: LinkAddress, turn: EntryTurn) -> None:
         self.learn([sender])
         contact = self.entries[sender]
-        contact.heard_at = self.timers.now()
+        now = self.timers.now()
+        contact.heard_at = now
         if turn.boot != self.boot or turn.entry_boot < contact.entry_boot:
             return
         self._note_entry_boot(contact, turn.entry_boot)
         if turn.session != contact.session:
             return
-        if contact.lease_end is not None and not self._has_lease(contact):
-            self._end_session(contact, "no answer in time")
+        if self._ends_with_its_lease(contact):
             return
-        self._renew(contact, turn.echo_ms)
-        begins_waiting = turn.waiting and not contact.waiting
-        begins_waiting = begins_waiting and self.policy.tells_unseen_room
-        contact.waiting = turn.waiting
-        if begins_waiting and self._left_by_others(contact) > contact.told_left:
-            self._mark(contact)
-        contact.out.confirm(turn.seen)
-        for item in contact.incoming.accept(turn.first, turn.items):
+        self._renew(contact, turn)
+        self._note_waiting(contact, turn.waiting)
+        contact.out.confirm(turn.seen, now)
+        for item in contact.take_items(turn, now):
             self._take_item(contact, item)
+        if contact.held and contact.may_release(turn, self.timers.lease_now()):
+            for order in contact.release():
+                self.executor.place(sender, order)
 
     def _note_entry_boot(self, contact: EntryContact, boot: int) -> None:
         if contact.entry_boot not in (0, boot):
@@ -214,34 +181,61 @@
             self._end_session(contact, "the entry has restarted")
         contact.entry_boot = boot
 
-    def _renew(self, contact: EntryContact, echo_ms: int) -> None:
-        end = echo_ms / 1000 + CONTACT_SECONDS
-        if contact.lease_end is None:
-            if end < self.timers.lease_now():
-                return
+    def _note_waiting(self, contact: EntryContact, waiting: bool) -> None:
+        begins = waiting and not contact.waiting
+        contact.waiting = waiting
+        if not begins or not self.policy.tells_unseen_room:
+            return
+        if self._left_by_others(contact) > contact.told_left:
+            self._mark(contact)
+
+    def _renew(self, contact: EntryContact, turn: EntryTurn) -> None:
+        end = lease_end_of(turn)
+        if contact.lease_end is None and end < self.timers.lease_now():
+            return
+        if not contact.known:
             self.log.write("entry.contact", entry=contact.address)
-            contact.lease_end = end
-        contact.lease_end = max(contact.lease_end, end)
+            contact.known = True
+        contact.lease_end = max(contact.lease_end or end, end)
 
     def _take_item(self, contact: EntryContact, item: Message) -> None:
         match item:
             case PlaceTask():
-                if self._has_lease(contact):
+                if contact.has_lease(self.timers.lease_now()):
                     self.executor.place(contact.address, item)
                 else:
-                    self._refuse(contact, item)
+                    contact.held.append(item)
+                    self._mark(contact)
             case WithdrawTask(key=key):
-                self.executor.withdraw(contact.address, key)
+                self._withdraw(contact, key)
 
-    # Leases and sessions.
+    def _withdraw(self, contact: EntryContact, key: RunKey) -> None:
+        held = [order for order in contact.held if order.key == key]
+        if not held:
+            self.executor.withdraw(contact.address, key)
+            return
+        contact.held.remove(held[0])
+        why = "withdrawn before there was contact"
+        self.report_end(contact.address, TaskEnded(key, Outcome.RETURNED, 0.0, why))
+
+    def _take_end_of_session(self, sender: LinkAddress, message: EndSession) -> None:
+        contact = self.entries.get(sender)
+        if contact is None or message.boot != self.boot:
+            return
+        if message.session == contact.session:
+            self._end_session(contact, "the entry has given it up")
 
-    def _refuse(self, contact: EntryContact, item: PlaceTask) -> None:
-        """Return a run that came with an echo too old for a lease."""
-        self.executor.withdraw(contact.address, item.key)
+    # Leases and sessions.
 
-    def _has_lease(self, contact: EntryContact) -> bool:
-        end = contact.lease_end
-        return end is not None and self.timers.lease_now() < end
+    def _ends_with_its_lease(self, contact: EntryContact) -> bool:
+        """End a session in which a lease has ended under runs; true if it was ended."""
+        if contact.lease_end is None or contact.has_lease(self.timers.lease_now()):
+            return False
+        contact.lease_end = None
+        if not self.executor.book.has_runs_of(contact.address):
+            return False
+        self._end_session(contact, "no answer in time")
+        return True
 
     def _end_session(self, contact: EntryContact, why: str) -> None:
         self.log.write(
@@ -250,12 +244,7 @@
             session=contact.session,
             why=why,
         )
-        contact.session += 1
-        contact.lease_end = None
-        contact.incoming = Incoming()
-        contact.out.restart()
-        # The connection may be dead without a sign; what it holds is void by now.
-        self.mailer.forget(contact.address)
+        contact.begin_session()
         self.executor.withdraw_all(contact.address, why)
         self._mark(contact)
 
@@ -272,27 +261,15 @@
     def _tick(self) -> None:
         now = self.timers.now()
         for contact in list(self.entries.values()):
-            if contact.lease_end is not None and not self._has_lease(contact):
-                self._end_session(contact, "no answer in time")
-            silent = now - contact.heard_at
-            if silent > FORGET_SECONDS:
+            self._ends_with_its_lease(contact)
+            if now - contact.heard_at > FORGET_SECONDS:
                 self._forget(contact.address, "no answer")
-            elif self._is_due(contact, now, silent):
+            elif contact.is_due(self._period(contact) - TICK_SECONDS / 2, now):
                 self._mark(contact)
 
-    def _is_due(self, contact: EntryContact, now: float, silent: float) -> bool:
-        if contact.out.is_late(now):
-            return True
-        if silent > ABSENT_HEARTBEAT_SECONDS:
-            due = now - contact.sent_at >= ABSENT_HEARTBEAT_SECONDS
-            if due:
-                # Messages to a dead connection would wait for its time-out.
-                self.mailer.forget(contact.address)
-            return due
-        busy = contact.waiting or bool(contact.out.items)
-        busy = busy or self.executor.book.committed(contact.address) != NOTHING
-        period = HEARTBEAT_SECONDS if busy else IDLE_HEARTBEAT_SECONDS
-        return now - contact.sent_at >= period - TICK_SECONDS / 2
+    def _period(self, contact: EntryContact) -> float:
+        has_runs = self.executor.book.has_runs_of(contact.address)
+        return contact.period(has_runs, self.timers.now(), len(self.entries))
 
     def _mark(self, contact: EntryContact) -> None:
         self.soon.mark(contact.address)
@@ -304,15 +281,18 @@
 
     def _send(self, contact: EntryContact) -> None:
         now = self.timers.now()
-        contact.sent_at = now
+        if contact.out.is_late(now):
+            self.log.write("items.sent_again", peer=contact.address)
         contact.told_left = self._left_by_others(contact)
         first, items = contact.out.take(now)
+        contact.sent(now)
         turn = AgentTurn(
             agent=self.name,
             zone=self.zone,
             boot=self.boot,
             session=contact.session,
             sent_ms=int(self.timers.lease_now() * 1000),
+            next_ms=int(self._period(contact) * 1000),
             seen=contact.incoming.seen,
             first=first,
             items=items,
--- a/bergamotcourse/coordination/jobs/job_dispatcher.py
+++ b/bergamotcourse/coordination/jobs/job_dispatcher.py
@@ -1,12 +1,13 @@
 """The entry's dispatcher of jobs: takes them, places their tasks, settles them."""
 
 from collections import Counter
-from dataclasses import replace
+from dataclasses import dataclass, replace
 
 import trio
 
 from bergamotcourse.coordination.event_log import EventLog
-from bergamotcourse.coordination.jobs.agent_links import AgentLink, AgentLinks
+from bergamotcourse.coordination.jobs.agent_link import AgentLink
+from bergamotcourse.coordination.jobs.agent_links import AgentLinks
 from bergamotcourse.coordination.jobs.job_order import order_key, refusal_at_once
 from bergamotcourse.coordination.jobs.job_run import (
     JobOutcome,
@@ -14,7 +15,7 @@
     TaskRun,
     TaskState,
 )
-from bergamotcourse.coordination.jobs.placement import Wish, choose
+from bergamotcourse.coordination.jobs.placement import Wish, choose, choose_to_open
 from bergamotcourse.coordination.jobs.policy import JobPolicy
 from bergamotcourse.coordination.jobs.work_estimates import WorkEstimates
 from bergamotcourse.coordination.timers import Timers
@@ -39,6 +40,19 @@
 """Callers who were refused for want of room may come back after this."""
 
 
+@dataclass
+class Choices:
+    """The agents among which the tasks of one turn are placed.
+
+    Attributes:
+        usable: Those in contact, and those at which a run was placed in this turn.
+        openable: Those without contact.
+    """
+
+    usable: list[AgentLink]
+    openable: list[AgentLink]
+
+
 class JobDispatcher:
     """Takes jobs and sees each to its outcome.
 
@@ -130,12 +144,12 @@
         self.waiting = [job for job in self.waiting if job.outcome is None]
         if not self.waiting:
             return
-        links = self.links.usable()
+        choices = Choices(self.links.usable(), self.links.openable())
         now = self.timers.now()
         if self.policy.puts_urgent_first:
             self.waiting.sort(key=lambda job: order_key(job, now))
         for job in list(self.waiting):
-            if not self._place_pending(job, links, now):
+            if not self._place_pending(job, choices, now):
                 break
         if self.waiting and not self.was_waiting:
             self.links.tell_waiting()
@@ -191,7 +205,7 @@
         )
         age = job.arrived - self.began
         left = min(seconds, self.ends_at - job.arrived)
-        refusal = refusal_at_once(job, self.links.usable(), age, left)
+        refusal = refusal_at_once(job, self.links.known(), age, left)
         if refusal is not None:
             job.retry_after = refusal.retry_after
             job.finish(JobOutcome.REFUSED, refusal.why)
@@ -242,10 +256,10 @@
 
     # Tasks.
 
-    def _place_pending(self, job: JobRun, links: list[AgentLink], now: float) -> bool:
+    def _place_pending(self, job: JobRun, choices: "Choices", now: float) -> bool:
         """Place the tasks of a job; false if one finds no room."""
         for task in job.pending():
-            link = self._choose(job, task, links)
+            link = self._choose(job, task, choices)
             if link is None:
                 return False
             self._place(job, task, link, now)
@@ -253,7 +267,7 @@
         return True
 
     def _choose(
-        self, job: JobRun, task: TaskRun, links: list[AgentLink]
+        self, job: JobRun, task: TaskRun, choices: "Choices"
     ) -> AgentLink | None:
         wish = Wish(
             service=job.queue.service,
@@ -261,10 +275,20 @@
             avoid=frozenset(task.avoid),
             zone=self.zone,
         )
-        # Where it failed everywhere, it is tried anywhere.
-        return choose(links, wish) or (
-            choose(links, replace(wish, avoid=frozenset())) if task.avoid else None
-        )
+        link = self._choose_for(wish, choices)
+        if link is None and task.avoid:
+            # Where it failed everywhere, it is tried anywhere.
+            link = self._choose_for(replace(wish, avoid=frozenset()), choices)
+        return link
+
+    def _choose_for(self, wish: Wish, choices: "Choices") -> AgentLink | None:
+        link = choose(choices.usable, wish)
+        if link is not None:
+            return link
+        link = choose_to_open(choices.openable, wish, self.links.rng)
+        if link is not None:
+            choices.usable.append(link)
+        return link
 
     def _place(self, job: JobRun, task: TaskRun, link: AgentLink, now: float) -> None:
         task.number += 1
--- a/bergamotcourse/coordination/jobs/job_order.py
+++ b/bergamotcourse/coordination/jobs/job_order.py
@@ -7,7 +7,7 @@
 
 from dataclasses import dataclass
 
-from bergamotcourse.coordination.jobs.agent_links import AgentLink
+from bergamotcourse.coordination.jobs.agent_link import AgentLink
 from bergamotcourse.coordination.jobs.job_run import JobRun
 
 LEAST_SHARE = 0.5
--- a/bergamotcourse/coordination/jobs/peers.py
+++ b/bergamotcourse/coordination/jobs/peers.py
@@ -5,6 +5,7 @@
 the store, and from peers where the store turns this process away.
 """
 
+import random
 from collections.abc import Callable
 from dataclasses import dataclass
 
@@ -24,18 +25,22 @@
 )
 
 GREET_SECONDS = 0.4
-"""Between greetings to live peers: five fit into the time in which a configuration
-must be in force."""
+"""Between rounds of greetings: five fit into the time in which a configuration must be
+in force."""
+
+GREETED_AT_ONCE = 6
+"""Peers greeted in a round, drawn anew each time. A version that one entry has is known
+to all of 35 after three rounds; were each to greet all, an entry would send and receive
+170 messages a second for it."""
 
 ASK_SECONDS = 2.0
-"""Between greetings that ask for everyone known, and to peers that do not answer."""
+"""Between greetings that ask for everyone known: of one peer, or of all drawn while
+this process knows no agent or has no configuration. An answer names every process,
+5 kB where there are 200."""
 
 FIRST_ASKS_SECONDS = 0.25
 """Between greetings while this process knows no agent or has no configuration."""
 
-ALIVE_SECONDS = 1.5
-"""A peer that was heard within this is greeted often; over three greetings."""
-
 FORGET_SECONDS = 30.0
 """A peer from elsewhere than the settings is forgotten after this silence."""
 
@@ -46,7 +51,6 @@
 
     address: LinkAddress
     heard_at: float
-    version: int = 0
     from_settings: bool = False
 
 
@@ -66,7 +70,9 @@
         timers: Timers,
         queues: QueuesInForce,
         log: EventLog,
+        rng: random.Random | None = None,
     ):
+        self.rng = rng or random.Random()
         self.own = own
         self.mailer = mailer
         self.timers = timers
@@ -74,9 +80,8 @@
         self.log = log
         self.peers: dict[LinkAddress, Peer] = {}
         self.agents: Callable[[], list[LinkAddress]] = list
-        self.greeted: set[LinkAddress] = set()
         self.asked_at = -1e9
-        queues.on_change = self._greet_alive
+        queues.on_change = self._greet_some
 
     async def run(self) -> None:
         """Greet peers until cancelled."""
@@ -92,7 +97,7 @@
                 continue
             if address not in self.peers:
                 self.log.write("peer.learned", peer=address)
-                self.peers[address] = Peer(address, self.timers.now(), 0, from_settings)
+                self.peers[address] = Peer(address, self.timers.now(), from_settings)
             self.peers[address].from_settings |= from_settings
 
     def take(self, sender: LinkAddress, message: Message) -> None:
@@ -129,7 +134,6 @@
             peer = self.peers.get(sender)
             if peer is not None:
                 peer.heard_at = self.timers.now()
-                peer.version = greeting.config
         if greeting.config > self.queues.version:
             self.mailer.post(sender, ConfigWanted(self.queues.version))
         if greeting.asks:
@@ -137,24 +141,30 @@
 
     def _tick(self) -> None:
         now = self.timers.now()
-        settled = bool(self.agents()) and bool(self.queues.version)
-        asks = not settled or now - self.asked_at >= ASK_SECONDS
-        if asks:
-            self.asked_at = now
         for peer in list(self.peers.values()):
-            silent = now - peer.heard_at
-            if silent > FORGET_SECONDS and not peer.from_settings:
+            if now - peer.heard_at > FORGET_SECONDS and not peer.from_settings:
                 self.log.write("peer.forgotten", peer=peer.address)
                 del self.peers[peer.address]
-            elif asks or silent < ALIVE_SECONDS:
-                if silent > ALIVE_SECONDS:
-                    # The connection may be dead without a sign.
-                    self.mailer.forget(peer.address)
-                self.mailer.post(peer.address, self._greeting(asks=asks))
-
-    def _greet_alive(self) -> None:
-        for address in self.peers:
-            self.mailer.post(address, self._greeting(asks=False))
+        asked = self._number_asked(now)
+        for index, peer in enumerate(self._draw()):
+            self.mailer.post(peer, self._greeting(asks=index < asked))
+
+    def _number_asked(self, now: float) -> int:
+        """Return how many of this round are asked for everyone known."""
+        settled = bool(self.agents()) and bool(self.queues.version)
+        if settled and now - self.asked_at < ASK_SECONDS:
+            return 0
+        self.asked_at = now
+        return 1 if settled else GREETED_AT_ONCE
+
+    def _greet_some(self) -> None:
+        for peer in self._draw():
+            self.mailer.post(peer, self._greeting(asks=False))
+
+    def _draw(self) -> list[LinkAddress]:
+        """Return the peers of a round of greetings."""
+        peers = list(self.peers)
+        return self.rng.sample(peers, min(GREETED_AT_ONCE, len(peers)))
 
     def _greeting(self, asks: bool, whole: bool = False) -> Hello:
         entries = list(self.peers) if whole else []
--- a/bergamotcourse/coordination/jobs/placement.py
+++ b/bergamotcourse/coordination/jobs/placement.py
@@ -3,17 +3,26 @@
 Load it answers: near full use. Tasks wait at the entry and are bound to an agent only
 once it has room, so a slow or silent upstream holds nothing but what it runs, and none
 waits behind the tasks of one upstream while another gets free.
+
+Among hundreds of agents an entry uses those in contact as long as they have room. Then
+it tries one of the others, of which it knows the load of seconds ago.
 """
 
+import random
 from dataclasses import dataclass
 
-from bergamotcourse.coordination.jobs.agent_links import AgentLink
+from bergamotcourse.coordination.jobs.agent_link import AgentLink
 from bergamotcourse.state.job_spec import StepSpec
 
 FAR_WEIGHT = 0.02
 """Prefers the own zone among equals: a message to another costs bytes between zones."""
 
 
+CANDIDATES = 4
+"""Agents drawn, of which the least full is tried. All entries know much the same old
+loads: were each to take the least full of all, they would meet there."""
+
+
 @dataclass(frozen=True)
 class Wish:
     """What a task needs of an agent.
@@ -41,6 +50,23 @@
     return best
 
 
+def choose_to_open(
+    links: list[AgentLink], wish: Wish, rng: random.Random
+) -> AgentLink | None:
+    """Return the agent without contact to place a task at, or ``None``.
+
+    One of the own zone goes before one of another.
+    """
+    suitable = [
+        link
+        for link in links
+        if not link.placed and link.name not in wish.avoid and suits(link, wish)
+    ]
+    near = [link for link in suitable if link.zone == wish.zone] or suitable
+    drawn = rng.sample(near, min(CANDIDATES, len(near)))
+    return min(drawn, key=lambda link: score_of(link, wish), default=None)
+
+
 def suits(link: AgentLink, wish: Wish) -> bool:
     """Return whether an agent may get a task now."""
     room = link.room
--- a/bergamotcourse/coordination/jobs/run_book.py
+++ b/bergamotcourse/coordination/jobs/run_book.py
@@ -1,5 +1,6 @@
 """The runs of one agent: which there are, which wait for room, and what they take."""
 
+from collections import Counter
 from collections.abc import Callable
 
 from bergamotcourse.coordination.event_log import EventLog
@@ -25,6 +26,7 @@
         used: Needs of those that take room at the upstream.
         total: Needs of all.
         by_entry: Needs by the entry that placed them; asked for each message.
+        counts: Runs by the entry that placed them.
         report_end: Told each outcome.
         room_changed: Called after each outcome.
     """
@@ -38,6 +40,7 @@
         self.used = NOTHING
         self.total = NOTHING
         self.by_entry: dict[LinkAddress, Resources] = {}
+        self.counts: Counter[LinkAddress] = Counter()
 
     def all(self) -> list[PlacedRun]:
         """Return all runs, as they are now."""
@@ -48,6 +51,11 @@
         self.runs[run.key] = run
         self.total = self.total + run.needs
         self.by_entry[run.entry] = self.committed(run.entry) + run.needs
+        self.counts[run.entry] += 1
+
+    def has_runs_of(self, entry: LinkAddress) -> bool:
+        """Return whether an entry has runs here."""
+        return self.counts[entry] > 0
 
     def has(self, run: PlacedRun) -> bool:
         """Return whether a run has no outcome yet."""
@@ -86,6 +94,7 @@
         del self.runs[run.key]
         self.total = self.total - run.needs
         self.by_entry[run.entry] = self.by_entry[run.entry] - run.needs
+        self.counts[run.entry] -= 1
         if run in self.queue:
             self.queue.remove(run)
         if run.occupies:
--- a/bergamotcourse/daemons/job_entry.py
+++ b/bergamotcourse/daemons/job_entry.py
@@ -40,13 +40,18 @@
         self.stopping = False
         self.queues = QueuesInForce(node.platform.decode_queues, node.log)
         self.links = AgentLinks(
-            node.settings.name, node.boot, node.mailer, node.timers, node.log
+            node.settings.name,
+            node.boot,
+            node.mailer,
+            node.timers,
+            node.log,
+            node.rng,
         )
         self.jobs = JobDispatcher(
             node.settings.zone, self.links, node.timers, node.log, node.policy
         )
         self.peers = Peers(
-            node.address, node.mailer, node.timers, self.queues, node.log
+            node.address, node.mailer, node.timers, self.queues, node.log, node.rng
         )
         self.peers.agents = lambda: list(self.links.links)
         processor = ProcessorLag(
@@ -97,7 +102,7 @@
         return (
             not self.stopping
             and self.queues.table is not None
-            and bool(self.links.usable())
+            and bool(self.links.known())
         )
 
     def settings_changed(self, settings: NodeSettings) -> None:
--- a/bergamotcourse/protocol/messages.py
+++ b/bergamotcourse/protocol/messages.py
@@ -18,6 +18,7 @@
     AgentTurn,
     ConfigCopy,
     ConfigWanted,
+    EndSession,
     EntryTurn,
     Farewell,
     Hello,
@@ -548,6 +549,7 @@
     | CloseUpstreams
     | AgentTurn
     | EntryTurn
+    | EndSession
     | Hello
     | ConfigWanted
     | ConfigCopy
--- a/bergamotcourse/protocol/task_messages.py
+++ b/bergamotcourse/protocol/task_messages.py
@@ -100,6 +100,7 @@
         boot: Rises with each process of the agent.
         session: Rises each time the agent gives up the runs of this entry.
         sent_ms: On the agent's clock; echoed by the entry.
+        next_ms: After so many milliseconds the next message follows, if none sooner.
         seen: The last item received of the entry's stream.
         first: Number of the first of ``items``.
     """
@@ -109,6 +110,7 @@
     boot: int
     session: int
     sent_ms: int
+    next_ms: int
     seen: int
     first: int
     items: list[TaskEnded]
@@ -139,6 +141,18 @@
     waiting: bool
 
 
+class EndSession(Message, frozen=True):
+    """An entry has given up all runs of a session: the agent is to begin another.
+
+    Attributes:
+        boot: Of the agent, as last heard.
+        session: The session that is over.
+    """
+
+    boot: int
+    session: int
+
+
 class Hello(Message, frozen=True):
     """A process makes itself known, and asks for the others that are known.
 
--- /dev/null
+++ b/bergamotcourse/tests/jobs/test_contact_on_demand.py
@@ -0,0 +1,213 @@
+"""Agents that an entry has no contact with: what they cost, and what runs there."""
+
+import pytest
+import trio
+
+from bergamotcourse.coordination.jobs import entry_contact
+from bergamotcourse.coordination.jobs.entry_contact import EntryContact
+from bergamotcourse.coordination.jobs.job_run import JobOutcome
+from bergamotcourse.coordination.jobs.lease_terms import OPEN_SECONDS, OVER_SECONDS
+from bergamotcourse.tests.jobs.chaos import Chaos
+from bergamotcourse.tests.jobs.fleets import run_fleet
+from bergamotcourse.virtual.job_fleet import job
+
+ENTRY, AGENT = "tcp://entry-1", "tcp://agent-1"
+QUIET_SECONDS = 2.6
+"""After which no entry is in contact, and each has heard all agents of late."""
+
+
+@pytest.fixture(autouse=True)
+def rare_messages(monkeypatch):
+    """Let two entries hear an idle agent as rarely as sixteen do."""
+    monkeypatch.setattr(entry_contact, "IDLE_MESSAGES_PER_SECOND", 1)
+
+
+async def out_of_contact(fleet, entry="entry-1"):
+    """Return once an entry may open each of its agents, and is in contact with none."""
+    await trio.sleep(QUIET_SECONDS)
+    links = fleet.entries[entry].links
+    while links.usable() or len(links.openable()) < len(fleet.agents):
+        await trio.sleep(0.01)
+
+
+class TestPlacing:
+    def test_a_task_starts_after_one_exchange(self):
+        async def main(fleet):
+            await out_of_contact(fleet)
+            begun = trio.current_time()
+            answer = await fleet.submit("entry-1", job("a", tasks=8))
+            assert answer.outcome is JobOutcome.SUCCEEDED
+            first = min(run.started_at for run in fleet.history)
+            assert first - begun < 0.02
+
+        run_fleet(main)
+
+    def test_the_tasks_of_a_job_share_the_agents_that_have_room(self):
+        async def main(fleet):
+            await out_of_contact(fleet)
+            await fleet.submit("entry-1", job("a", tasks=8))
+            assert len({run.upstream for run in fleet.history}) <= 2
+
+        run_fleet(main, agents=8)
+
+    def test_an_entry_that_waits_asks_agents_that_it_does_not_hear(self):
+        """All were full when they were last heard, and have room since."""
+
+        async def main(fleet):
+            await trio.sleep(1.0)
+            full = job("full", tasks=40, work=2.2)
+            fleet.nursery.start_soon(fleet.submit, "entry-1", full)
+            await trio.sleep(2.4)
+            links = fleet.entries["entry-2"].links
+            assert not any(link.free().cpu > 3100 for link in links.known())
+            begun = trio.current_time()
+            answer = await fleet.submit("entry-2", job("a", tasks=8))
+            assert answer.outcome is JobOutcome.SUCCEEDED
+            assert answer.at - begun < 0.3
+
+        run_fleet(main)
+
+
+class TestDeadAgents:
+    def test_a_task_is_placed_elsewhere_once_its_agent_did_not_answer(self):
+        async def main(fleet):
+            await out_of_contact(fleet)
+            for name in ("agent-1", "agent-2"):
+                fleet.agents[name].kill()
+            begun = trio.current_time()
+            answer = await fleet.submit("entry-1", job("a", tasks=8, work=0.2))
+            assert answer.outcome is JobOutcome.SUCCEEDED
+            assert answer.at - begun < 0.2 + 3 * OPEN_SECONDS < OVER_SECONDS
+            assert fleet.overlaps() == []
+
+        run_fleet(main, agents=3)
+
+    def test_a_job_that_found_only_such_agents_has_not_run(self):
+        async def main(fleet):
+            await out_of_contact(fleet)
+            fleet.agents["agent-1"].kill()
+            answer = await fleet.submit("entry-1", job("a"))
+            assert answer.outcome is JobOutcome.REFUSED
+            assert fleet.history == []
+
+        run_fleet(main, agents=1)
+
+
+async def answers_come_late(fleet):
+    """An agent takes a placement; its answers come once the run is placed elsewhere."""
+    await out_of_contact(fleet)
+    entry = fleet.entries["entry-1"]
+    [other] = [link for link in entry.links.links.values() if link.name != "agent-1"]
+    other.unanswered = True
+    fleet.network.cut(AGENT, ENTRY)
+    fleet.nursery.start_soon(fleet.submit, "entry-1", job("a", tasks=1, work=2.0))
+    await trio.sleep(0.9 * OPEN_SECONDS)
+    other.unanswered = False
+    await trio.sleep(0.2 * OPEN_SECONDS)
+    fleet.network.heal(AGENT, ENTRY)
+    await trio.sleep(2.0)
+    return fleet.overlaps()
+
+
+def lose_withdrawals(fleet):
+    """Lose the first copies of what takes the run back, but not what follows."""
+    lost = []
+
+    def tap(sender, receiver, payload):
+        if sender == ENTRY and receiver == AGENT and b"WithdrawTask" in payload:
+            lost.append(payload)
+            return len(lost) > 2
+        return True
+
+    fleet.network.tap = tap
+
+
+class TestLateAnswers:
+    def test_a_run_that_was_placed_elsewhere_does_not_start(self):
+        async def main(fleet):
+            assert await answers_come_late(fleet) == []
+            assert len(fleet.history) == 1
+
+        run_fleet(main, agents=2)
+
+    def test_nor_while_the_withdrawal_is_lost(self):
+        async def main(fleet):
+            lose_withdrawals(fleet)
+            assert await answers_come_late(fleet) == []
+
+        run_fleet(main, agents=2)
+
+    def test_without_a_look_at_what_is_lacking_it_would(self, monkeypatch):
+        def may_release(self, turn, lease_now):
+            return self.has_lease(lease_now)
+
+        monkeypatch.setattr(EntryContact, "may_release", may_release)
+
+        async def main(fleet):
+            lose_withdrawals(fleet)
+            return await answers_come_late(fleet)
+
+        assert run_fleet(main, agents=2)
+
+
+class TestSessions:
+    def test_one_that_the_entry_has_given_up_is_followed_by_another(self):
+        """The agent had no runs left when it lost the entry, so it kept the session."""
+
+        async def main(fleet):
+            await fleet.submit("entry-1", job("a", tasks=4))
+            link = fleet.entries["entry-1"].links.links[AGENT]
+            link.over = True
+            await trio.sleep(QUIET_SECONDS)
+            assert not link.over
+            assert fleet.logged("entry.session_ended")
+            answer = await fleet.submit("entry-1", job("b"))
+            assert answer.outcome is JobOutcome.SUCCEEDED
+
+        run_fleet(main, agents=1)
+
+    def test_a_quiet_one_goes_on(self):
+        async def main(fleet):
+            for number in range(3):
+                answer = await fleet.submit("entry-1", job(f"j{number}"))
+                assert answer.outcome is JobOutcome.SUCCEEDED
+                await out_of_contact(fleet)
+            assert not fleet.logged("entry.session_ended")
+
+        run_fleet(main)
+
+
+class TestMessages:
+    @pytest.mark.parametrize("entries", [4, 12])
+    def test_an_idle_agent_sends_the_same_to_many_entries(self, entries, monkeypatch):
+        monkeypatch.setattr(entry_contact, "IDLE_MESSAGES_PER_SECOND", 16)
+
+        async def main(fleet):
+            await trio.sleep(2.0)
+            before = self.sent_by(fleet, AGENT)
+            await trio.sleep(10.0)
+            return self.sent_by(fleet, AGENT) - before
+
+        assert 120 <= run_fleet(main, entries=entries) <= 180
+
+    def sent_by(self, fleet, address):
+        pairs = fleet.network.sent.items()
+        return sum(sent.payloads for (sender, _), sent in pairs if sender == address)
+
+
+class TestChaos:
+    @pytest.mark.parametrize("seed", range(100, 116))
+    def test_no_run_overlaps_over_a_network_that_loses_and_reorders(self, seed):
+        async def main(fleet):
+            fleet.network.loss = 0.03
+            fleet.network.duplicate = 0.03
+            fleet.network.reorder = 0.01 if seed % 2 else 0.2
+            await Chaos(fleet, seed).run()
+            assert fleet.overlaps() == []
+            fleet.network.loss = fleet.network.reorder = 0.0
+            await trio.sleep(8.0)
+            answer = await fleet.submit("entry-1", job("last", tasks=8))
+            assert answer.outcome is JobOutcome.SUCCEEDED
+            assert fleet.overlaps() == []
+
+        run_fleet(main, seed=seed, agents=6, entries=3)
--- a/bergamotcourse/tests/jobs/test_guards.py
+++ b/bergamotcourse/tests/jobs/test_guards.py
@@ -2,8 +2,8 @@
 
 import trio
 
-from bergamotcourse.coordination.jobs import agent_links, contacts, upstream_life
-from bergamotcourse.coordination.jobs.contacts import Contacts
+from bergamotcourse.coordination.jobs import agent_link, entry_contact, upstream_life
+from bergamotcourse.coordination.jobs.entry_contact import EntryContact
 from bergamotcourse.coordination.jobs.executor import Executor
 from bergamotcourse.protocol.task_messages import Outcome, TaskEnded
 from bergamotcourse.protocol.upstream_orders import StartVerdict
@@ -99,7 +99,7 @@
 
 class TestWithout:
     def test_the_contact_lease(self, monkeypatch):
-        monkeypatch.setattr(Contacts, "_has_lease", lambda self, contact: True)
+        monkeypatch.setattr(EntryContact, "has_lease", lambda self, now: True)
         assert run_fleet(entry_killed)
 
     def test_the_upstream_lease(self, monkeypatch):
@@ -113,11 +113,11 @@
         assert run_fleet(all_killed)
 
     def test_the_wait_until_the_runs_of_a_silent_agent_are_over(self, monkeypatch):
-        monkeypatch.setattr(agent_links, "OVER_SECONDS", 0.3)
+        monkeypatch.setattr(agent_link, "OVER_SECONDS", 0.3)
         assert run_fleet(agent_cut)
 
     def test_a_contact_lease_shorter_than_that_wait(self, monkeypatch):
-        monkeypatch.setattr(contacts, "CONTACT_SECONDS", 2.0)
+        monkeypatch.setattr(entry_contact, "CONTACT_SECONDS", 2.0)
         assert run_fleet(agent_cut)
 
     def test_a_clock_that_counts_suspensions(self, monkeypatch):
@@ -150,7 +150,7 @@
     def test_barring_a_start_that_had_no_answer(self, monkeypatch):
         def take_verdict(self, run, verdict):
             if verdict is StartVerdict.UNKNOWN:
-                self._finish(run, Outcome.RETURNED, "no answer")
+                self.book.finish(run, Outcome.RETURNED, "no answer")
             else:
                 original(self, run, verdict)
 
--- a/bergamotcourse/tests/jobs/test_item_stream.py
+++ b/bergamotcourse/tests/jobs/test_item_stream.py
@@ -1,7 +1,10 @@
 import random
 
 from bergamotcourse.coordination.jobs.item_stream import Incoming, Outgoing
-from bergamotcourse.coordination.jobs.lease_terms import RESEND_SECONDS
+from bergamotcourse.coordination.jobs.lease_terms import (
+    MOST_RESEND_SECONDS,
+    RESEND_SECONDS,
+)
 
 
 class TestOutgoing:
@@ -11,15 +14,48 @@
         assert out.take(0.0) == (1, ["a"])
         out.add("b")
         assert out.take(0.1) == (2, ["b"])
-        assert not out.is_late(0.2)
-        assert out.take(0.2) == (3, [])
+        assert not out.is_late(RESEND_SECONDS - 0.01)
+        assert out.take(RESEND_SECONDS - 0.01) == (3, [])
+
+    def test_a_later_item_does_not_put_off_the_oldest(self):
+        """Behind a lost one nothing is taken, so the lost one must not wait."""
+        out = Outgoing()
+        out.add("a")
+        out.take(0.0)
+        out.add("b")
+        out.take(RESEND_SECONDS / 2)
+        assert out.is_late(RESEND_SECONDS)
+        assert out.take(RESEND_SECONDS) == (1, ["a", "b"])
+
+    def test_the_time_until_an_item_is_late_starts_with_each_confirmation(self):
+        out = Outgoing()
+        for item in "ab":
+            out.add(item)
+        out.take(0.0)
+        out.confirm(1, 0.1)
+        assert not out.is_late(RESEND_SECONDS)
+        assert out.is_late(0.1 + RESEND_SECONDS)
+
+    def test_waits_longer_each_time_up_to_a_bound(self):
+        out = Outgoing()
+        out.add("a")
+        out.take(0.0)
+        now, waits = 0.0, []
+        for _ in range(5):
+            begun = now
+            while not out.is_late(now):
+                now += 0.01
+            waits.append(now - begun)
+            out.take(now)
+        assert waits[1] > 1.5 * waits[0]
+        assert max(waits) < MOST_RESEND_SECONDS + 0.02
 
     def test_sends_again_what_was_not_confirmed(self):
         out = Outgoing()
         for item in "abc":
             out.add(item)
         out.take(0.0)
-        out.confirm(1)
+        out.confirm(1, 0.0)
         assert out.is_late(RESEND_SECONDS)
         assert out.take(RESEND_SECONDS) == (2, ["b", "c"])
 
@@ -28,7 +64,7 @@
         for item in "abc":
             out.add(item)
         out.take(0.0)
-        out.confirm(2)
+        out.confirm(2, 0.0)
         out.restart()
         assert out.take(0.1) == (1, ["c"])
 
@@ -46,6 +82,13 @@
         assert incoming.accept(2, ["b"]) == []
         assert incoming.seen == 0
 
+    def test_knows_when_items_before_a_number_have_not_come(self):
+        incoming = Incoming()
+        incoming.accept(1, ["a"])
+        assert not incoming.lacks(1)
+        assert not incoming.lacks(2)
+        assert incoming.lacks(3)
+
 
 class TestBoth:
     def test_over_a_link_that_loses_half_all_arrive_in_order(self):
@@ -60,9 +103,9 @@
                 if rng.random() < 0.5:
                     received += incoming.accept(first, items)
                 if rng.random() < 0.5:
-                    out.confirm(incoming.seen)
+                    out.confirm(incoming.seen, now)
         for _ in range(50):
-            now += RESEND_SECONDS
+            now += MOST_RESEND_SECONDS
             received += incoming.accept(*out.take(now))
-            out.confirm(incoming.seen)
+            out.confirm(incoming.seen, now)
         assert received == list(range(200))
--- a/bergamotcourse/tests/jobs/test_placement.py
+++ b/bergamotcourse/tests/jobs/test_placement.py
@@ -1,4 +1,4 @@
-from bergamotcourse.coordination.jobs.agent_links import AgentLink
+from bergamotcourse.coordination.jobs.agent_link import AgentLink
 from bergamotcourse.coordination.jobs.placement import Wish, choose
 from bergamotcourse.ids import LinkAddress
 from bergamotcourse.protocol.task_messages import AgentRoom
--- a/bergamotcourse/virtual/job_fleet.py
+++ b/bergamotcourse/virtual/job_fleet.py
@@ -165,8 +165,10 @@
             upstream = self.fleet.upstreams[self.name]
             await self.pause.passed()
             if not upstream.down and self.name not in self.fleet.cut_upstreams:
+                before = self.executor.refusal()
                 self.executor.hear_upstream(upstream.report())
-                self.contacts.tell_all()
+                if self.executor.refusal() != before:
+                    self.contacts.tell_all()
             await trio.sleep(self.fleet.report_seconds)
 
     def _connect(self, report) -> FrozenPort:
@@ -182,7 +184,12 @@
     def __init__(self, fleet: "JobFleet", name: str):
         super().__init__(fleet, name)
         self.links = AgentLinks(
-            name, fleet.next_boot(), self.mailer, self.timers, self.log
+            name,
+            fleet.next_boot(),
+            self.mailer,
+            self.timers,
+            self.log,
+            fleet.make_rng(),
         )
         self.jobs = JobDispatcher(
             "zone-1", self.links, self.timers, self.log, fleet.policy
@@ -325,5 +332,5 @@
         return [fields for _, _, logged, fields in self.events if logged == kind]
 
     def _knows_all(self, entry: EntryProcess) -> bool:
-        ready = [link for link in entry.links.usable() if link.room.capacity.cpu]
+        ready = [link for link in entry.links.known() if link.room.capacity.cpu]
         return len(ready) == len(self.agents)
