Start a run by the echo of the message that lets it, not by any contact

A placement that is overtaken by the echo of a later message met an agent with contact and started at once, though its entry had taken it back. Change: each run that comes is held until the message that brought it, or a later one, renews the lease by its own echo and lacks no item before it. With that, putting withdrawals in the places of placements that may be sent again is not needed, and is gone.

--- a/bergamotcourse/coordination/jobs/agent_link.py
+++ b/bergamotcourse/coordination/jobs/agent_link.py
@@ -151,16 +151,14 @@
         return self.incoming.accept(turn.first, turn.items)
 
     def take_back(self) -> list[RunKey]:
-        """Bar the runs of a placement that was left unanswered, and return them.
+        """Withdraw the runs that were left unanswered, and return them.
 
-        No message was echoed since they were placed, so none of them has started. What
-        the agent may have received is withdrawn; in place of the rest, which may yet be
-        sent again, stands the withdrawal too.
+        No message was echoed since they were placed, so none of them has started. Nor
+        will it: the agent releases a held run only once it has all items.
         """
         self.opened_at = None
         self.unanswered = True
         keys = list(self.placed)
-        self.out.replace(withdrawal_of)
         for key in keys:
             self.out.add(WithdrawTask(key))
         return keys
@@ -177,8 +175,3 @@
         self.incoming = Incoming()
         for key in self.placed:
             self.out.add(WithdrawTask(key))
-
-
-def withdrawal_of(item: PlaceTask | WithdrawTask) -> WithdrawTask:
-    """Return the withdrawal of an item's run."""
-    return WithdrawTask(item.key)
--- a/bergamotcourse/coordination/jobs/contacts.py
+++ b/bergamotcourse/coordination/jobs/contacts.py
@@ -171,9 +171,8 @@
         contact.out.confirm(turn.seen, now)
         for item in contact.take_items(turn, now):
             self._take_item(contact, item)
-        if contact.held and contact.may_release(turn, self.timers.lease_now()):
-            for order in contact.release():
-                self.executor.place(sender, order)
+        if contact.held:
+            self._release(contact, turn)
 
     def _note_entry_boot(self, contact: EntryContact, boot: int) -> None:
         if contact.entry_boot not in (0, boot):
@@ -201,14 +200,18 @@
     def _take_item(self, contact: EntryContact, item: Message) -> None:
         match item:
             case PlaceTask():
-                if contact.has_lease(self.timers.lease_now()):
-                    self.executor.place(contact.address, item)
-                else:
-                    contact.held.append(item)
-                    self._mark(contact)
+                contact.held.append(item)
             case WithdrawTask(key=key):
                 self._withdraw(contact, key)
 
+    def _release(self, contact: EntryContact, turn: EntryTurn) -> None:
+        """Take the held runs, or ask for the echo that they wait for."""
+        if contact.may_release(turn, self.timers.lease_now()):
+            for order in contact.release():
+                self.executor.place(contact.address, order)
+        elif turn.items:
+            self._mark(contact)
+
     def _withdraw(self, contact: EntryContact, key: RunKey) -> None:
         held = [order for order in contact.held if order.key == key]
         if not held:
--- a/bergamotcourse/coordination/jobs/entry_contact.py
+++ b/bergamotcourse/coordination/jobs/entry_contact.py
@@ -42,7 +42,7 @@
         told_at: When it was last told of room.
         told_left: The processor room that the last message left to it.
         unconfirmed_since: When the first item came that it was not told of.
-        held: Runs that came without a lease; they wait for one.
+        held: Runs that came with too old an echo; they wait for a later one.
     """
 
     address: LinkAddress
--- a/bergamotcourse/coordination/jobs/item_stream.py
+++ b/bergamotcourse/coordination/jobs/item_stream.py
@@ -1,7 +1,6 @@
 """One direction of a session: numbered items, sent until they are confirmed."""
 
 from collections import deque
-from collections.abc import Callable
 from typing import Generic, TypeVar
 
 from bergamotcourse.coordination.jobs.lease_terms import (
@@ -62,10 +61,6 @@
         self.sent = len(self.items)
         return self.first + skipped, items
 
-    def replace(self, change: Callable[[T], T]) -> None:
-        """Put other items in the places of those that are not confirmed."""
-        self.items = deque(change(item) for item in self.items)
-
     def restart(self) -> None:
         """Number the unconfirmed items anew, for a new session."""
         self.first = 1
--- a/bergamotcourse/tests/jobs/test_contact_on_demand.py
+++ b/bergamotcourse/tests/jobs/test_contact_on_demand.py
@@ -150,6 +150,50 @@
         assert run_fleet(main, agents=2)
 
 
+class TestOvertaking:
+    """A placement arrives after the echo of a later message, which gave contact."""
+
+    async def placement_comes_last(self, fleet):
+        await out_of_contact(fleet)
+        kept = []
+
+        def tap(sender, receiver, payload):
+            if (sender, receiver) != (ENTRY, AGENT):
+                return True
+            if b"PlaceTask" in payload:
+                kept.append(payload)
+            # The withdrawal does not arrive either, only echoes without items.
+            return b"PlaceTask" not in payload and b"WithdrawTask" not in payload
+
+        fleet.network.tap = tap
+        entry = fleet.entries["entry-1"]
+        other = entry.links.links["tcp://agent-2"]
+        other.unanswered = True
+        spec = job("a", tasks=1, work=2.0)
+        fleet.nursery.start_soon(fleet.submit, "entry-1", spec)
+        await trio.sleep(0.9 * OPEN_SECONDS)
+        other.unanswered = False
+        await trio.sleep(0.2 * OPEN_SECONDS)
+        agent = fleet.agents["agent-1"]
+        agent.contacts.entries[ENTRY].warm_until = trio.current_time() + 1.0
+        while not agent.contacts.in_contact(ENTRY):
+            await trio.sleep(0.001)
+        fleet.network.tap = None
+        fleet.network.carry(ENTRY, AGENT, kept[0])
+        await trio.sleep(2.0)
+        return fleet.overlaps()
+
+    def test_it_does_not_start_by_that_contact(self):
+        assert run_fleet(self.placement_comes_last, agents=2) == []
+
+    def test_by_any_contact_it_would(self, monkeypatch):
+        def may_release(self, turn, lease_now):
+            return self.has_lease(lease_now) and not self.incoming.lacks(turn.first)
+
+        monkeypatch.setattr(EntryContact, "may_release", may_release)
+        assert run_fleet(self.placement_comes_last, agents=2)
+
+
 class TestSessions:
     def test_one_that_the_entry_has_given_up_is_followed_by_another(self):
         """The agent had no runs left when it lost the entry, so it kept the session."""
