Place tasks in the rack that has their data, and leave that rack to them

Cause: a step's rack was not read, so tasks of jobs that want the same data ran anywhere at a multiple of their time, and other tasks filled the rack that has it. Waiting jobs behind one without room were not looked at, whatever they needed. Change: a task goes to the rack of its data as long as that has room, elsewhere where the job is in time there too or nowhere, and waits otherwise; other tasks take wanted racks last. The search goes on past four jobs that find no room. Runs away from their data count with the factor that the platform tells, so that no upstream looks slow by them.

--- a/bergamotcourse/coordination/jobs/job_dispatcher.py
+++ b/bergamotcourse/coordination/jobs/job_dispatcher.py
@@ -17,6 +17,7 @@
 )
 from bergamotcourse.coordination.jobs.placement import Wish, choose, choose_to_open
 from bergamotcourse.coordination.jobs.policy import JobPolicy
+from bergamotcourse.coordination.jobs.rack_demand import RackDemand
 from bergamotcourse.coordination.jobs.work_estimates import WorkEstimates
 from bergamotcourse.coordination.timers import Timers
 from bergamotcourse.protocol.task_messages import (
@@ -36,6 +37,10 @@
 """A run that finds no room after all comes back after this: two entries may have
 counted on the same room, and there may be some elsewhere."""
 
+LOOK_AHEAD = 4
+"""Waiting jobs that find no room before the search ends. What has no room for the tasks
+of one may have some for smaller ones, or for those whose data is elsewhere."""
+
 REFUSAL_SECONDS = 1.0
 """Callers who were refused for want of room may come back after this."""
 
@@ -47,10 +52,12 @@
     Attributes:
         usable: Those in contact, and those at which a run was placed in this turn.
         openable: Those without contact.
+        spared: Racks that are left to tasks whose data is there.
     """
 
     usable: list[AgentLink]
     openable: list[AgentLink]
+    spared: frozenset[str]
 
 
 class JobDispatcher:
@@ -61,6 +68,7 @@
         waiting: Those with tasks that are to be placed.
         outcomes: Counts by outcome.
         ends_at: When this entry ends, once a planned stop has begun.
+        remote_factor: Times as long that a task takes away from its data.
     """
 
     def __init__(
@@ -70,8 +78,11 @@
         timers: Timers,
         log: EventLog,
         policy: JobPolicy | None = None,
+        remote_factor: float = 1.5,
     ):
         self.policy = policy or JobPolicy()
+        self.remote_factor = remote_factor
+        self.racks = RackDemand()
         self.zone = zone
         self.links = links
         self.timers = timers
@@ -144,12 +155,16 @@
         self.waiting = [job for job in self.waiting if job.outcome is None]
         if not self.waiting:
             return
-        choices = Choices(self.links.usable(), self.links.openable())
         now = self.timers.now()
+        choices = Choices(
+            self.links.usable(), self.links.openable(), self.racks.wanted(now)
+        )
         if self.policy.puts_urgent_first:
             self.waiting.sort(key=lambda job: order_key(job, now))
+        blocked = 0
         for job in list(self.waiting):
-            if not self._place_pending(job, choices, now):
+            blocked += not self._place_pending(job, choices, now)
+            if blocked > LOOK_AHEAD:
                 break
         if self.waiting and not self.was_waiting:
             self.links.tell_waiting()
@@ -173,7 +188,8 @@
             return
         if ended.outcome is Outcome.DONE:
             if self.policy.learns_estimates:
-                self.estimates.learn(job.queue.name, task.spec.estimate, ended.ran)
+                declared = task.spec.estimate * self._factor_of(task)
+                self.estimates.learn(job.queue.name, declared, ended.ran)
             self._task_done(job, task)
             return
         if ended.outcome in (Outcome.FAILED, Outcome.MOVED):
@@ -195,6 +211,9 @@
         job = JobRun(spec, queue, self.timers.now(), factor)
         self.jobs[spec.id] = job
         self.waiting.append(job)
+        for step in spec.steps:
+            if step.data_rack:
+                self.racks.note(step.data_rack, job.arrived)
         self.log.write(
             "job.taken",
             request=spec.id,
@@ -259,7 +278,7 @@
     def _place_pending(self, job: JobRun, choices: "Choices", now: float) -> bool:
         """Place the tasks of a job; false if one finds no room."""
         for task in job.pending():
-            link = self._choose(job, task, choices)
+            link = self._choose(job, task, choices, now)
             if link is None:
                 return False
             self._place(job, task, link, now)
@@ -267,16 +286,26 @@
         return True
 
     def _choose(
-        self, job: JobRun, task: TaskRun, choices: "Choices"
+        self, job: JobRun, task: TaskRun, choices: "Choices", now: float
     ) -> AgentLink | None:
         wish = Wish(
             service=job.queue.service,
             step=task.spec,
             avoid=frozenset(task.avoid),
             zone=self.zone,
+            spared=choices.spared,
         )
+        near = task.spec.data_rack
+        if not near or not self.policy.places_near_data:
+            return self._choose_anywhere(wish, choices)
+        link = self._choose_anywhere(replace(wish, rack=near), choices)
+        if link is None and job.may_run_away(now, self.remote_factor):
+            link = self._choose_anywhere(wish, choices)
+        return link
+
+    def _choose_anywhere(self, wish: Wish, choices: "Choices") -> AgentLink | None:
         link = self._choose_for(wish, choices)
-        if link is None and task.avoid:
+        if link is None and wish.avoid:
             # Where it failed everywhere, it is tried anywhere.
             link = self._choose_for(replace(wish, avoid=frozenset()), choices)
         return link
@@ -295,13 +324,15 @@
         task.state = TaskState.PLACED
         task.where = link
         task.placed_at = now
+        near = task.spec.data_rack
+        task.away = bool(near) and near not in link.room.labels
         order = PlaceTask(
             key=task.key,
             request=job.spec.id,
             payload=job.spec.payload,
             needs=task.spec.needs,
             rank=round((job.start_by - now) * 1000),
-            estimate=task.spec.estimate * job.factor,
+            estimate=task.spec.estimate * job.factor * self._factor_of(task),
             patience=PATIENCE_MS,
         )
         self.links.place(link, order, task.spec.needs, task)
@@ -311,12 +342,16 @@
             task=task.name,
             run=task.number,
             agent=link.name,
+            away=task.away,
             free_cpu=link.free().cpu,
             heard_ms=round((now - link.heard_at) * 1000),
             waited_ms=round((now - job.arrived) * 1000),
         )
         job.runs += 1
 
+    def _factor_of(self, task: TaskRun) -> float:
+        return self.remote_factor if task.away else 1.0
+
     def _place_again(self, job: JobRun, task: TaskRun, ended: TaskEnded) -> None:
         task.state = TaskState.PENDING
         task.where = None
--- a/bergamotcourse/coordination/jobs/job_run.py
+++ b/bergamotcourse/coordination/jobs/job_run.py
@@ -55,6 +55,7 @@
         avoid: Names of agents where it failed.
         where: The link to the agent of its last run, while that is placed.
         placed_at: When that run was placed.
+        away: That run is not in the rack that has its data.
     """
 
     job: "JobRun"
@@ -66,6 +67,7 @@
     avoid: set[str] = field(default_factory=set)
     where: object | None = None
     placed_at: float = 0.0
+    away: bool = False
 
     @property
     def spec(self) -> StepSpec:
@@ -128,6 +130,14 @@
         """Return from when on its answer is certainly of no use."""
         return self.arrived + LATE_FACTOR * ESTIMATE_ERROR * self.objective
 
+    def may_run_away(self, now: float, remote_factor: float) -> bool:
+        """Return whether a task need not wait for room near its data.
+
+        Away from it the job can be in time too, or it cannot be in time anywhere.
+        """
+        away_in_time = now + self.work * remote_factor <= self.arrived + self.objective
+        return away_in_time or now > self.start_by
+
     def pending(self) -> list[TaskRun]:
         """Return the tasks that are to be placed."""
         return [task for task in self.tasks if task.state is TaskState.PENDING]
--- a/bergamotcourse/coordination/jobs/placement.py
+++ b/bergamotcourse/coordination/jobs/placement.py
@@ -18,6 +18,9 @@
 """Prefers the own zone among equals: a message to another costs bytes between zones."""
 
 
+SPARED_WEIGHT = 1.0
+"""An upstream in a wanted rack comes after all others: a full one has fullness 1."""
+
 CANDIDATES = 4
 """Agents drawn, of which the least full is tried. All entries know much the same old
 loads: were each to take the least full of all, they would meet there."""
@@ -30,12 +33,16 @@
     Attributes:
         avoid: Names of agents where it failed.
         zone: Where its entry is.
+        rack: Where it must run; empty for anywhere.
+        spared: Racks left to tasks whose data is there, while others have room.
     """
 
     service: str
     step: StepSpec
     avoid: frozenset[str]
     zone: str
+    rack: str = ""
+    spared: frozenset[str] = frozenset()
 
 
 def choose(links: list[AgentLink], wish: Wish) -> AgentLink | None:
@@ -75,6 +82,8 @@
         return False
     if wish.step.label and wish.step.label not in room.labels:
         return False
+    if wish.rack and wish.rack not in room.labels:
+        return False
     if needs.cpu > room.capacity.cpu - link.load_cpu():
         return False
     return needs.fits(link.free())
@@ -85,4 +94,5 @@
     capacity = max(1, link.room.capacity.cpu)
     fullness = (link.load_cpu() + wish.step.needs.cpu) / capacity
     far = FAR_WEIGHT if link.zone != wish.zone else 0.0
-    return fullness + far
+    spared = not wish.rack and not wish.spared.isdisjoint(link.room.labels)
+    return fullness + far + spared * SPARED_WEIGHT
--- a/bergamotcourse/coordination/jobs/policy.py
+++ b/bergamotcourse/coordination/jobs/policy.py
@@ -26,6 +26,8 @@
             answer, until it answers.
         recalls_upstreams: A new process takes up upstreams by their last report in
             the store.
+        places_near_data: Tasks go to the rack that has their data, as long as that
+            serves their job, and others leave it to them.
     """
 
     learns_estimates: bool = True
@@ -38,6 +40,7 @@
     learns_answer_time: bool = True
     doubts_at_once: bool = True
     recalls_upstreams: bool = True
+    places_near_data: bool = True
 
     @classmethod
     def without(cls, names: Iterable[str]) -> "JobPolicy":
--- a/bergamotcourse/daemons/job_entry.py
+++ b/bergamotcourse/daemons/job_entry.py
@@ -48,7 +48,12 @@
             node.rng,
         )
         self.jobs = JobDispatcher(
-            node.settings.zone, self.links, node.timers, node.log, node.policy
+            node.settings.zone,
+            self.links,
+            node.timers,
+            node.log,
+            node.policy,
+            node.settings.remote_factor,
         )
         self.peers = Peers(
             node.address, node.mailer, node.timers, self.queues, node.log, node.rng
--- a/bergamotcourse/platform/documents.py
+++ b/bergamotcourse/platform/documents.py
@@ -51,6 +51,7 @@
     estimated_ms: float = 0.0
     after: list[int] = []
     required_label: str = ""
+    affinity: str = ""
     gang: bool = False
     long_running: bool = False
     anti_affinity: int = 0
@@ -177,6 +178,7 @@
         estimate=max(0.0, step.estimated_ms / 1000),
         after=tuple(step.after),
         label=step.required_label,
+        data_rack=step.affinity,
     )
 
 
--- a/bergamotcourse/platform/settings_file.py
+++ b/bergamotcourse/platform/settings_file.py
@@ -31,6 +31,9 @@
         raise BergamotcourseError(fault) from error
 
 
+NUMBERS = ("bounds.grace_s", "bounds.remote_factor")
+
+
 def parse_settings(text: str) -> NodeSettings:
     """Return the settings in a text; unknown keys are ignored.
 
@@ -65,6 +68,7 @@
         store=endpoint(fields["platform.address"]),
         service=ServiceName(fields.get("service", "")),
         stop_seconds=float(fields.get("bounds.grace_s") or 6),
+        remote_factor=float(fields.get("bounds.remote_factor") or 1.5),
     )
 
 
@@ -88,7 +92,7 @@
         return [f"{key} is not of the form IP:PORT: {part}" for part in wrong]
     if key == "internal_ports" and not value.split(",")[0].isdigit():
         return [f"{key} names no port: {value}"]
-    if key == "bounds.grace_s" and not is_number(value):
+    if key in NUMBERS and not is_number(value):
         return [f"{key} is not a number: {value}"]
     return []
 
--- a/bergamotcourse/standins/order_upstream.py
+++ b/bergamotcourse/standins/order_upstream.py
@@ -90,7 +90,9 @@
         history: list[Run],
         clock_rate: float = 1.0,
         rng: random.Random | None = None,
+        labels: tuple[str, ...] = ("a", "rack-1"),
     ):
+        self.labels = labels
         self.id = UpstreamId(upstream)
         self.service = ServiceName(service)
         self.capacity = capacity
@@ -132,7 +134,7 @@
             address=str(self.id),
             zone=ZoneName("zone-1"),
             capacity=self.capacity,
-            labels=("a", "rack-1"),
+            labels=self.labels,
             draining=self.draining,
             sequence=self.reports,
             clock=self.clock(),
--- a/bergamotcourse/state/job_spec.py
+++ b/bergamotcourse/state/job_spec.py
@@ -23,6 +23,8 @@
         estimate: Seconds that a task takes, as declared by the caller.
         after: Indices of steps all of whose tasks must be done before.
         label: A label that the upstream must have; empty for any.
+        data_rack: The label of the rack that has its data; empty where it has none.
+            In any other rack a task takes a multiple of its time.
     """
 
     count: int
@@ -30,6 +32,7 @@
     estimate: float
     after: tuple[int, ...] = ()
     label: str = ""
+    data_rack: str = ""
 
 
 class JobSpec(msgspec.Struct, frozen=True):
--- a/bergamotcourse/state/node_settings.py
+++ b/bergamotcourse/state/node_settings.py
@@ -31,6 +31,7 @@
         store: The platform's store.
         service: Of the upstream beside an agent; empty at an entry.
         stop_seconds: From the signal to stop until the process is killed.
+        remote_factor: Times as long as near its data that a task takes elsewhere.
     """
 
     name: str
@@ -43,3 +44,4 @@
     store: Endpoint
     service: ServiceName
     stop_seconds: float
+    remote_factor: float = 1.5
--- a/bergamotcourse/virtual/job_fleet.py
+++ b/bergamotcourse/virtual/job_fleet.py
@@ -44,10 +44,25 @@
 )
 
 
-def job(name: str, tasks: int = 4, work: float = 0.2, estimate: float = 0.0) -> JobSpec:
-    """Return a job; its payload tells the stand-in the seconds of work."""
-    step = StepSpec(tasks, NEEDS, estimate or work)
-    return JobSpec(JobId(name), str(work), (step,))
+REMOTE_FACTOR = 2.0
+"""Times as long that tasks take away from their data."""
+
+NEAR = "@"
+"""In a payload, before the rack that has the data."""
+
+
+def job(
+    name: str,
+    tasks: int = 4,
+    work: float = 0.2,
+    estimate: float = 0.0,
+    rack: str = "",
+    needs: Resources = NEEDS,
+) -> JobSpec:
+    """Return a job; its payload tells the stand-in the work and where its data is."""
+    step = StepSpec(tasks, needs, estimate or work, data_rack=rack)
+    payload = f"{work}{NEAR}{rack}" if rack else str(work)
+    return JobSpec(JobId(name), payload, (step,))
 
 
 def work_of(payload: str) -> tuple[Resources, float]:
@@ -192,7 +207,7 @@
             fleet.make_rng(),
         )
         self.jobs = JobDispatcher(
-            "zone-1", self.links, self.timers, self.log, fleet.policy
+            "zone-1", self.links, self.timers, self.log, fleet.policy, REMOTE_FACTOR
         )
         self.mailer.handler = self._handle
 
@@ -224,6 +239,7 @@
         events: What the processes logged: time, process, kind, fields.
         cut_upstreams: Agents that do not reach their upstream.
         work_of: Tells the stand-ins the needs and the work of a task's payload.
+        racks: Over which the upstreams are dealt out.
     """
 
     def __init__(
@@ -233,8 +249,10 @@
         agents: int = 4,
         seed: int = 0,
         policy: JobPolicy | None = None,
+        racks: int = 1,
     ):
         self.policy = policy or JobPolicy()
+        self.racks = racks
         self.nursery = nursery
         self.rng = random.Random(seed)
         self.network = MemoryNetwork(self.make_rng(), LINK_DELAY)
@@ -278,19 +296,33 @@
     def start_upstream(self, agent: str, clock_rate: float = 1.0) -> OrderUpstream:
         """Start the upstream beside an agent, or a new life of it."""
         name = f"upstream-{agent}-{len(self.lives)}"
+        rack = self.rack_of(agent)
+
+        def work_of(payload: str) -> tuple[Resources, float]:
+            own, _, near = payload.partition(NEAR)
+            needs, seconds = self.work_of(own)
+            away = near not in ("", rack)
+            return needs, seconds * (REMOTE_FACTOR if away else 1.0)
+
         upstream = OrderUpstream(
             name,
             SERVICE,
             CAPACITY,
-            self.work_of,
+            work_of,
             self.history,
             clock_rate,
             self.make_rng(),
+            ("a", rack),
         )
         self.lives[name] = self.upstreams[agent] = upstream
         self.nursery.start_soon(upstream.run)
         return upstream
 
+    def rack_of(self, agent: str) -> str:
+        """Return the rack of an agent; they are dealt out in turn."""
+        number = int(agent.rpartition("-")[2]) if self.racks > 1 else 1
+        return f"rack-{(number - 1) % self.racks + 1}"
+
     async def submit(
         self, entry: str, spec: JobSpec, queue: JobQueue = QUEUE, seconds: float = 5.0
     ) -> Answer:
