Give each entry a share of the agents, so that few pairs stay in contact

Change: an entry uses the agents of its own zone first, and among these the ones that rank it highest by rendezvous hashing; as many as its own tasks need four times over, 12 at the least. Further ones are taken when these have no room. Also: jobs whose placement came back are refused only after a search elsewhere; log lines, the look at lateness and an answer of the store without news wake a process less often.

--- a/bergamotcourse/coordination/jobs/agent_links.py
+++ b/bergamotcourse/coordination/jobs/agent_links.py
@@ -1,13 +1,15 @@
 """The entry's links to agents: who can be placed at, and what is placed where."""
 
-import random
+import itertools
 from collections.abc import Callable
+from dataclasses import dataclass, field
 from typing import Any
 
 import trio
 
 from bergamotcourse.coordination.event_log import EventLog
 from bergamotcourse.coordination.jobs.agent_link import AgentLink
+from bergamotcourse.coordination.jobs.agent_order import AgentOrder
 from bergamotcourse.coordination.jobs.lease_terms import ECHO_SECONDS
 from bergamotcourse.coordination.jobs.send_soon import SendSoon
 from bergamotcourse.coordination.timers import Timers
@@ -43,13 +45,44 @@
 needs."""
 
 
+ORDER_SECONDS = 1.0
+"""Between two looks at the order of the agents, after agents or entries have come."""
+
+
+@dataclass
+class Choices:
+    """The agents at which a run may be placed now, in the order of use.
+
+    Attributes:
+        near: Those in contact, of this entry's share.
+        near_quiet: Those without contact, of this entry's share.
+        further: All others in contact.
+        further_quiet: All others without contact.
+    """
+
+    near: list[AgentLink] = field(default_factory=list)
+    near_quiet: list[AgentLink] = field(default_factory=list)
+    further: list[AgentLink] = field(default_factory=list)
+    further_quiet: list[AgentLink] = field(default_factory=list)
+
+    def in_turn(self) -> tuple[tuple[list[AgentLink], list[AgentLink]], ...]:
+        """Return those with and without contact, of the share and of the rest."""
+        return (self.near, self.near_quiet), (self.further, self.further_quiet)
+
+    def all(self) -> list[AgentLink]:
+        """Return all of them."""
+        return self.near + self.near_quiet + self.further + self.further_quiet
+
+
 class AgentLinks:
     """All agents that an entry has heard of.
 
     Attributes:
         entry: Name of the entry.
         boot: Of this process; rises with each process of the entry.
-        rng: Draws the agents that are asked for room.
+        order: Tells which agents are used first.
+        sorted: The agents in that order.
+        entries: Returns the addresses of the other entries.
         on_end: Called with the owner of a run, its link, and its outcome.
         on_settled: Called after the outcomes of one message, or of one lost agent.
         on_room: Called when an agent has told its load.
@@ -63,11 +96,15 @@
         mailer: Mailer,
         timers: Timers,
         log: EventLog,
-        rng: random.Random | None = None,
+        order: AgentOrder,
     ):
         self.entry = entry
         self.boot = boot
-        self.rng = rng or random.Random()
+        self.order = order
+        self.sorted: list[AgentLink] = []
+        self.sorted_at = -ORDER_SECONDS
+        self.sorted_for: tuple = ()
+        self.entries: Callable[[], list[LinkAddress]] = list
         self.mailer = mailer
         self.timers = timers
         self.log = log
@@ -86,23 +123,34 @@
                 self._tick()
                 await trio.sleep(TICK_SECONDS)
 
-    def usable(self) -> list[AgentLink]:
-        """Return the agents in contact, and those that are about to be."""
-        now = self.timers.now()
-        return [
-            link
-            for link in self.links.values()
-            if link.in_contact(now) or link.is_opening(now)
-        ]
-
-    def openable(self) -> list[AgentLink]:
-        """Return the agents without contact at which a run may be placed."""
+    def choices(self) -> Choices:
+        """Return the agents at which a run may be placed now."""
         now = self.timers.now()
-        return [link for link in self.links.values() if link.may_open(now)]
+        links = self._in_order(now)
+        self.order.note(sum(link.pending.cpu for link in links), now)
+        share = self.order.share(links)
+        choices = Choices()
+        for number, link in enumerate(links):
+            if link.in_contact(now) or link.is_opening(now):
+                (choices.near if number < share else choices.further).append(link)
+            elif link.may_open(now):
+                quiet = choices.near_quiet if number < share else choices.further_quiet
+                quiet.append(link)
+        return choices
 
     def known(self) -> list[AgentLink]:
         """Return all agents at which a run may be placed."""
-        return self.usable() + self.openable()
+        return self.choices().all()
+
+    def _in_order(self, now: float) -> list[AgentLink]:
+        entries = self.entries()
+        sorted_for = (len(self.links), len(entries))
+        stale = sorted_for != self.sorted_for or len(self.sorted) != len(self.links)
+        if stale and (now - self.sorted_at >= ORDER_SECONDS or not self.sorted):
+            self.sorted = self.order.sort(self.links.values(), entries)
+            self.sorted_for = sorted_for
+            self.sorted_at = now
+        return self.sorted
 
     def place(
         self, link: AgentLink, order: PlaceTask, needs: Resources, owner: Any
@@ -122,8 +170,10 @@
 
     def tell_waiting(self) -> None:
         """Ask all agents to tell of room."""
-        for link in self.usable():
-            self._mark(link)
+        now = self.timers.now()
+        for link in self.links.values():
+            if link.in_contact(now):
+                self._mark(link)
 
     def take_turn(self, sender: LinkAddress, turn: AgentTurn) -> None:
         """Take a message of an agent."""
@@ -219,11 +269,11 @@
     def _ask_further(self) -> None:
         """Ask some agents without contact for room."""
         now = self.timers.now()
-        near = [link for link in self.links.values() if link.in_contact(now)]
-        if len(near) >= MOST_CONTACTS:
+        links = self._in_order(now)
+        if sum(link.in_contact(now) for link in links) >= MOST_CONTACTS:
             return
-        others = [link for link in self.links.values() if link.may_ask(now)]
-        for link in self.rng.sample(others, min(ASKED_AT_ONCE, len(others))):
+        others = (link for link in links if link.may_ask(now))
+        for link in itertools.islice(others, ASKED_AT_ONCE):
             self._mark(link)
 
     def _is_due(self, link: AgentLink, now: float) -> bool:
--- a/bergamotcourse/coordination/jobs/contacts.py
+++ b/bergamotcourse/coordination/jobs/contacts.py
@@ -262,17 +262,18 @@
     # What is sent.
 
     def _tick(self) -> None:
-        now = self.timers.now()
+        now, lease_now = self.timers.now(), self.timers.lease_now()
         for contact in list(self.entries.values()):
-            self._ends_with_its_lease(contact)
+            if contact.lease_end is not None and lease_now >= contact.lease_end:
+                self._ends_with_its_lease(contact)
             if now - contact.heard_at > FORGET_SECONDS:
                 self._forget(contact.address, "no answer")
-            elif contact.is_due(self._period(contact) - TICK_SECONDS / 2, now):
+            elif contact.is_due(self._period(contact, now) - TICK_SECONDS / 2, now):
                 self._mark(contact)
 
-    def _period(self, contact: EntryContact) -> float:
+    def _period(self, contact: EntryContact, now: float) -> float:
         has_runs = self.executor.book.has_runs_of(contact.address)
-        return contact.period(has_runs, self.timers.now(), len(self.entries))
+        return contact.period(has_runs, now, len(self.entries))
 
     def _mark(self, contact: EntryContact) -> None:
         self.soon.mark(contact.address)
@@ -295,7 +296,7 @@
             boot=self.boot,
             session=contact.session,
             sent_ms=int(self.timers.lease_now() * 1000),
-            next_ms=int(self._period(contact) * 1000),
+            next_ms=int(self._period(contact, now) * 1000),
             seen=contact.incoming.seen,
             first=first,
             items=items,
--- a/bergamotcourse/coordination/jobs/job_dispatcher.py
+++ b/bergamotcourse/coordination/jobs/job_dispatcher.py
@@ -1,13 +1,13 @@
 """The entry's dispatcher of jobs: takes them, places their tasks, settles them."""
 
 from collections import Counter
-from dataclasses import dataclass, replace
+from dataclasses import replace
 
 import trio
 
 from bergamotcourse.coordination.event_log import EventLog
 from bergamotcourse.coordination.jobs.agent_link import AgentLink
-from bergamotcourse.coordination.jobs.agent_links import AgentLinks
+from bergamotcourse.coordination.jobs.agent_links import AgentLinks, Choices
 from bergamotcourse.coordination.jobs.job_order import order_key, refusal_at_once
 from bergamotcourse.coordination.jobs.job_run import (
     JobOutcome,
@@ -45,21 +45,6 @@
 """Callers who were refused for want of room may come back after this."""
 
 
-@dataclass
-class Choices:
-    """The agents among which the tasks of one turn are placed.
-
-    Attributes:
-        usable: Those in contact, and those at which a run was placed in this turn.
-        openable: Those without contact.
-        spared: Racks that are left to tasks whose data is there.
-    """
-
-    usable: list[AgentLink]
-    openable: list[AgentLink]
-    spared: frozenset[str]
-
-
 class JobDispatcher:
     """Takes jobs and sees each to its outcome.
 
@@ -83,6 +68,7 @@
         self.policy = policy or JobPolicy()
         self.remote_factor = remote_factor
         self.racks = RackDemand()
+        self.spared: frozenset[str] = frozenset()
         self.zone = zone
         self.links = links
         self.timers = timers
@@ -156,9 +142,8 @@
         if not self.waiting:
             return
         now = self.timers.now()
-        choices = Choices(
-            self.links.usable(), self.links.openable(), self.racks.wanted(now)
-        )
+        choices = self.links.choices()
+        self.spared = self.racks.wanted(now)
         if self.policy.puts_urgent_first:
             self.waiting.sort(key=lambda job: order_key(job, now))
         blocked = 0
@@ -166,6 +151,9 @@
             blocked += not self._place_pending(job, choices, now)
             if blocked > LOOK_AHEAD:
                 break
+        # Only now: one whose placement came back may have found room elsewhere.
+        for job in list(self.waiting):
+            self._refuse_if_idle(job)
         if self.waiting and not self.was_waiting:
             self.links.tell_waiting()
         self.was_waiting = bool(self.waiting)
@@ -275,7 +263,7 @@
 
     # Tasks.
 
-    def _place_pending(self, job: JobRun, choices: "Choices", now: float) -> bool:
+    def _place_pending(self, job: JobRun, choices: Choices, now: float) -> bool:
         """Place the tasks of a job; false if one finds no room."""
         for task in job.pending():
             link = self._choose(job, task, choices, now)
@@ -286,14 +274,14 @@
         return True
 
     def _choose(
-        self, job: JobRun, task: TaskRun, choices: "Choices", now: float
+        self, job: JobRun, task: TaskRun, choices: Choices, now: float
     ) -> AgentLink | None:
         wish = Wish(
             service=job.queue.service,
             step=task.spec,
             avoid=frozenset(task.avoid),
             zone=self.zone,
-            spared=choices.spared,
+            spared=self.spared,
         )
         near = task.spec.data_rack
         if not near or not self.policy.places_near_data:
@@ -303,21 +291,25 @@
             link = self._choose_anywhere(wish, choices)
         return link
 
-    def _choose_anywhere(self, wish: Wish, choices: "Choices") -> AgentLink | None:
+    def _choose_anywhere(self, wish: Wish, choices: Choices) -> AgentLink | None:
         link = self._choose_for(wish, choices)
         if link is None and wish.avoid:
             # Where it failed everywhere, it is tried anywhere.
             link = self._choose_for(replace(wish, avoid=frozenset()), choices)
         return link
 
-    def _choose_for(self, wish: Wish, choices: "Choices") -> AgentLink | None:
-        link = choose(choices.usable, wish)
-        if link is not None:
-            return link
-        link = choose_to_open(choices.openable, wish, self.links.rng)
-        if link is not None:
-            choices.usable.append(link)
-        return link
+    def _choose_for(self, wish: Wish, choices: Choices) -> AgentLink | None:
+        for in_contact, quiet in choices.in_turn():
+            link = choose(in_contact, wish)
+            if link is not None:
+                return link
+            link = choose_to_open(quiet, wish)
+            if link is not None:
+                # The next tasks share the exchange that gives contact.
+                quiet.remove(link)
+                in_contact.append(link)
+                return link
+        return None
 
     def _place(self, job: JobRun, task: TaskRun, link: AgentLink, now: float) -> None:
         task.number += 1
@@ -363,7 +355,6 @@
             outcome=ended.outcome.value,
             detail=ended.detail,
         )
-        self._refuse_if_idle(job)
         if job.outcome is None and job not in self.waiting:
             self.waiting.append(job)
 
--- a/bergamotcourse/coordination/jobs/placement.py
+++ b/bergamotcourse/coordination/jobs/placement.py
@@ -8,7 +8,7 @@
 it tries one of the others, of which it knows the load of seconds ago.
 """
 
-import random
+import itertools
 from dataclasses import dataclass
 
 from bergamotcourse.coordination.jobs.agent_link import AgentLink
@@ -22,8 +22,9 @@
 """An upstream in a wanted rack comes after all others: a full one has fullness 1."""
 
 CANDIDATES = 4
-"""Agents drawn, of which the least full is tried. All entries know much the same old
-loads: were each to take the least full of all, they would meet there."""
+"""The first agents without contact that have room, of which the least full is tried.
+All entries know much the same old loads: were each to take the least full of all, they
+would meet there."""
 
 
 @dataclass(frozen=True)
@@ -57,20 +58,18 @@
     return best
 
 
-def choose_to_open(
-    links: list[AgentLink], wish: Wish, rng: random.Random
-) -> AgentLink | None:
+def choose_to_open(links: list[AgentLink], wish: Wish) -> AgentLink | None:
     """Return the agent without contact to place a task at, or ``None``.
 
-    One of the own zone goes before one of another.
+    Args:
+        links: The agents, the first to be used first; each entry has an order of its
+            own, so that not all meet at the one that told of the most room.
+        wish: What the task needs.
     """
-    suitable = [
-        link
-        for link in links
-        if not link.placed and link.name not in wish.avoid and suits(link, wish)
-    ]
-    near = [link for link in suitable if link.zone == wish.zone] or suitable
-    drawn = rng.sample(near, min(CANDIDATES, len(near)))
+    suitable = (
+        link for link in links if link.name not in wish.avoid and suits(link, wish)
+    )
+    drawn = itertools.islice(suitable, CANDIDATES)
     return min(drawn, key=lambda link: score_of(link, wish), default=None)
 
 
--- a/bergamotcourse/coordination/jobs/processor_lag.py
+++ b/bergamotcourse/coordination/jobs/processor_lag.py
@@ -14,8 +14,9 @@
 from bergamotcourse.coordination.event_log import EventLog
 from bergamotcourse.coordination.timers import JITTER_SHARE, Timers
 
-LOOK_SECONDS = 0.02
-"""Between looks; shorter than any batch that matters."""
+LOOK_SECONDS = 0.05
+"""Between looks; half of the lateness that matters. Each costs a turn of the scheduler,
+0.15 ms."""
 
 LEAST_LAG_SECONDS = 0.1
 """Lateness from which on jobs are turned away: less than the time between heartbeats,
--- a/bergamotcourse/coordination/jobs/store_watch.py
+++ b/bergamotcourse/coordination/jobs/store_watch.py
@@ -19,6 +19,10 @@
 """A call for changes waits so long: a connection that died without a sign then costs
 less than half of the time in which a configuration must be in force."""
 
+NOTHING_NEW_SECONDS = 0.05
+"""Pause after an answer without a change: against a store that does not wait, an entry
+spent half a core on asking."""
+
 RETRY_SECONDS = 0.15
 MOST_RETRY_SECONDS = 1.2
 """Pauses after a call that failed: doubled each time, and spread by half."""
@@ -86,6 +90,9 @@
     async def _adopt(self, read: ConfigRead) -> None:
         if read.content is not None:
             self.queues.adopt(read.content, "store")
+        elif read.position == self.position:
+            # A store that answers at once would be asked without end.
+            await trio.sleep(NOTHING_NEW_SECONDS)
         if self.queues.table is None:
             # There is none yet: the feed would tell, but a peer may have one.
             await trio.sleep(RETRY_SECONDS)
--- a/bergamotcourse/daemons/job_entry.py
+++ b/bergamotcourse/daemons/job_entry.py
@@ -3,6 +3,7 @@
 import trio
 
 from bergamotcourse.coordination.jobs.agent_links import AgentLinks
+from bergamotcourse.coordination.jobs.agent_order import AgentOrder
 from bergamotcourse.coordination.jobs.job_dispatcher import JobDispatcher
 from bergamotcourse.coordination.jobs.job_service import JobService
 from bergamotcourse.coordination.jobs.peers import Peers
@@ -45,7 +46,7 @@
             node.mailer,
             node.timers,
             node.log,
-            node.rng,
+            AgentOrder(node.address, node.settings.zone),
         )
         self.jobs = JobDispatcher(
             node.settings.zone,
@@ -59,6 +60,7 @@
             node.address, node.mailer, node.timers, self.queues, node.log, node.rng
         )
         self.peers.agents = lambda: list(self.links.links)
+        self.links.entries = lambda: list(self.peers.peers)
         processor = ProcessorLag(
             node.timers, node.log, node.rng, turns=node.policy.turns_away_when_short
         )
--- a/bergamotcourse/daemons/json_log.py
+++ b/bergamotcourse/daemons/json_log.py
@@ -48,6 +48,7 @@
         self.omitted: Counter[str] = Counter()
         self.dropped = 0
         self.window = 0
+        self.has_lines = trio.Event()
 
     def sink(self, kind: str, fields: dict[str, Any]) -> None:
         """Take one event."""
@@ -66,8 +67,12 @@
         os.set_blocking(self.fd, False)
         try:
             while True:
+                await self.has_lines.wait()
                 await trio.sleep(FLUSH_SECONDS)
+                self.has_lines = trio.Event()
                 self.flush()
+                if self.rest or self.omitted:
+                    self.has_lines.set()
         finally:
             self.flush()
 
@@ -91,6 +96,7 @@
             self.dropped += 1
             return
         self.lines.append(self.encoder.encode(line) + b"\n")
+        self.has_lines.set()
 
     def _turn_window(self, second: int) -> None:
         if second == self.window:
--- a/bergamotcourse/tests/jobs/test_contact_on_demand.py
+++ b/bergamotcourse/tests/jobs/test_contact_on_demand.py
@@ -26,7 +26,7 @@
     """Return once an entry may open each of its agents, and is in contact with none."""
     await trio.sleep(QUIET_SECONDS)
     links = fleet.entries[entry].links
-    while links.usable() or len(links.openable()) < len(fleet.agents):
+    while len(links.choices().near_quiet) < len(fleet.agents):
         await trio.sleep(0.01)
 
 
--- a/bergamotcourse/virtual/job_fleet.py
+++ b/bergamotcourse/virtual/job_fleet.py
@@ -7,12 +7,13 @@
 
 from bergamotcourse.coordination.event_log import EventLog
 from bergamotcourse.coordination.jobs.agent_links import AgentLinks
+from bergamotcourse.coordination.jobs.agent_order import AgentOrder
 from bergamotcourse.coordination.jobs.contacts import Contacts
 from bergamotcourse.coordination.jobs.executor import Executor
 from bergamotcourse.coordination.jobs.job_dispatcher import JobDispatcher
 from bergamotcourse.coordination.jobs.job_run import JobOutcome
 from bergamotcourse.coordination.jobs.policy import JobPolicy
-from bergamotcourse.ids import LinkAddress, ServiceName
+from bergamotcourse.ids import LinkAddress, ServiceName, ZoneName
 from bergamotcourse.protocol.mailer import Mailer
 from bergamotcourse.protocol.task_messages import AgentTurn, Farewell
 from bergamotcourse.standins.order_upstream import (
@@ -204,8 +205,9 @@
             self.mailer,
             self.timers,
             self.log,
-            fleet.make_rng(),
+            AgentOrder(self.address, ZoneName("zone-1")),
         )
+        self.links.entries = lambda: [one.address for one in fleet.entries.values()]
         self.jobs = JobDispatcher(
             "zone-1", self.links, self.timers, self.log, fleet.policy, REMOTE_FACTOR
         )
