--- a/bergamotcourse/coordination/jobs/agent_order.py
+++ b/bergamotcourse/coordination/jobs/agent_order.py
@@ -33,10 +33,12 @@
     Attributes:
         own: Address of the entry.
         zone: Of the entry.
+        narrow: Whether it keeps to a share of them.
         peak: The most processor that its tasks took at a time, of late.
     """
 
-    def __init__(self, own: LinkAddress, zone: ZoneName):
+    def __init__(self, own: LinkAddress, zone: ZoneName, narrow: bool = True):
+        self.narrow = narrow
         self.own = own
         self.zone = zone
         self.peak = 0.0
@@ -62,6 +64,8 @@
 
     def share(self, links: list[AgentLink]) -> int:
         """Return how many of the sorted agents this entry uses as a rule."""
+        if not self.narrow:
+            return len(links)
         room = 0.0
         for number, link in enumerate(links, start=1):
             if link.room is not None:
--- a/bergamotcourse/coordination/jobs/policy.py
+++ b/bergamotcourse/coordination/jobs/policy.py
@@ -28,6 +28,7 @@
             the store.
         places_near_data: Tasks go to the rack that has their data, as long as that
             serves their job, and others leave it to them.
+        keeps_to_share: An entry uses a share of the agents as long as it has room.
     """
 
     learns_estimates: bool = True
@@ -41,6 +42,7 @@
     doubts_at_once: bool = True
     recalls_upstreams: bool = True
     places_near_data: bool = True
+    keeps_to_share: bool = True
 
     @classmethod
     def without(cls, names: Iterable[str]) -> "JobPolicy":
--- a/bergamotcourse/daemons/job_entry.py
+++ b/bergamotcourse/daemons/job_entry.py
@@ -46,7 +46,7 @@
             node.mailer,
             node.timers,
             node.log,
-            AgentOrder(node.address, node.settings.zone),
+            AgentOrder(node.address, node.settings.zone, node.policy.keeps_to_share),
         )
         self.jobs = JobDispatcher(
             node.settings.zone,
--- a/bergamotcourse/tests/jobs/test_configuration.py
+++ b/bergamotcourse/tests/jobs/test_configuration.py
@@ -37,12 +37,18 @@
 
 
 class FakeStore:
-    """A store with one configuration; ``error`` fails all calls."""
+    """A store with one configuration.
+
+    Attributes:
+        error: Fails all calls.
+        waits: Whether a call for changes waits for one.
+    """
 
     def __init__(self):
         self.version = 0
         self.position = 0
         self.error = None
+        self.waits = True
         self.calls = 0
 
     def put(self, version):
@@ -59,6 +65,8 @@
 
     async def config_changes(self, after, wait, timeout):
         self.calls += 1
+        if not self.waits and self.position == after:
+            return Ok(ConfigRead(self.position, None))
         for _ in range(int(wait / 0.01)):
             if self.error:
                 return Error(self.error)
@@ -134,19 +142,34 @@
 
         self.follow(scenario)
 
+    def test_a_store_that_answers_at_once_is_not_pressed(self):
+        async def scenario(store, queues):
+            store.put(3)
+            store.waits = False
+            await trio.sleep(10.0)
+            assert store.calls <= 210
+            store.put(4)
+            await trio.sleep(0.1)
+            assert queues.version == 4
+
+        self.follow(scenario)
+
 
 class TestPeers:
-    def converse(self, scenario, cut=None):
+    def converse(self, scenario, entries=3):
+        numbers = range(1, entries + 1)
+
         async def main():
             network = MemoryNetwork(random.Random(1), 0.001)
-            addresses = [LinkAddress(f"tcp://entry-{n}") for n in (1, 2, 3)]
+            addresses = [LinkAddress(f"tcp://entry-{n}") for n in numbers]
             entries = []
             async with trio.open_nursery() as nursery:
                 for address in addresses:
                     mailer = Mailer(network.link(address), rng=random.Random(2))
                     queues = make_queues()
                     timers = Timers(random.Random(3))
-                    peers = Peers(address, mailer, timers, queues, EventLog())
+                    rng = random.Random(len(entries))
+                    peers = Peers(address, mailer, timers, queues, EventLog(), rng)
                     mailer.handler = peers.take
                     peers.learn(addresses, from_settings=True)
                     nursery.start_soon(mailer.run)
@@ -166,6 +189,29 @@
 
         self.converse(scenario)
 
+    def test_so_do_thirty_others(self):
+        async def scenario(network, addresses, entries):
+            entries[0][1].adopt(content(5), "store")
+            await trio.sleep(IN_FORCE_SECONDS)
+            assert {queues.version for _, queues in entries} == {5}
+
+        self.converse(scenario, entries=35)
+
+    def test_the_greetings_of_many_are_bounded(self):
+        """Each greets six in a round, and knows agents and a configuration."""
+
+        async def scenario(network, addresses, entries):
+            for peers, queues in entries:
+                queues.adopt(content(5), "store")
+                peers.agents = lambda: [LinkAddress("tcp://agent-1")]
+            await trio.sleep(2.0)
+            before = sum(sent.payloads for sent in network.sent.values())
+            await trio.sleep(10.0)
+            sent = sum(sent.payloads for sent in network.sent.values()) - before
+            assert sent / 10.0 / len(entries) <= 18
+
+        self.converse(scenario, entries=35)
+
     def test_the_first_greeting_may_be_lost(self):
         async def scenario(network, addresses, entries):
             network.cut(addresses[0], addresses[1])
--- a/bergamotcourse/virtual/job_fleet.py
+++ b/bergamotcourse/virtual/job_fleet.py
@@ -205,7 +205,7 @@
             self.mailer,
             self.timers,
             self.log,
-            AgentOrder(self.address, ZoneName("zone-1")),
+            AgentOrder(self.address, ZoneName("zone-1"), fleet.policy.keeps_to_share),
         )
         self.links.entries = lambda: [one.address for one in fleet.entries.values()]
         self.jobs = JobDispatcher(
