Take turns at receiving in one piece of code; end receiving with the link

Cause: found on reading the change again. The datagram link had the counting of payloads between turns of the scheduler written out as in the link over nng. Change: ReceiveTurns serves both links; a closed link raises ClosedResourceError. The new test was ended after 15 s before, without a result, and passes now.

--- a/bergamotcourse/tests/transport/test_datagram_link.py
+++ b/bergamotcourse/tests/transport/test_datagram_link.py
@@ -107,6 +107,17 @@
         assert caught.group_contains(BergamotcourseError)
 
 
+class TestClosed:
+    def test_who_receives_after_the_end_is_told(self):
+        async def scenario():
+            async with opened() as a:
+                pass
+            with pytest.raises(trio.ClosedResourceError), trio.fail_after(LIMIT):
+                await a.receive()
+
+        trio.run(scenario)
+
+
 class TestAssembly:
     def test_parts_in_any_order_and_doubled(self):
         assembly = Assembly()
--- a/bergamotcourse/transport/datagram_link.py
+++ b/bergamotcourse/transport/datagram_link.py
@@ -16,6 +16,7 @@
 
 from bergamotcourse.errors import BergamotcourseError, Step, StepError
 from bergamotcourse.ids import LinkAddress
+from bergamotcourse.transport.receive_turns import ReceiveTurns
 
 SCHEME = "udp://"
 
@@ -33,9 +34,6 @@
 RECEIVE_BUFFER_BYTES = 1 << 20
 """Asked of the kernel: what 200 peers send while this process waits for its turn."""
 
-RECEIVES_PER_TURN = 16
-"""Payloads taken in a row before other tasks get their turn."""
-
 SEND_TIMEOUT = 0.1
 """Seconds that a send waits for room in the kernel's buffer; what it carries is sent
 again by then, as it is when a datagram is lost."""
@@ -116,7 +114,7 @@
         self.peers: dict[LinkAddress, tuple[str, int]] = {}
         self.assembly = Assembly()
         self.dropped = 0
-        self.received_in_turn = 0
+        self.turns = ReceiveTurns()
 
     async def run(self) -> None:
         """Open the link and serve it until cancelled.
@@ -152,15 +150,18 @@
         """Return the next payload received from any peer.
 
         Only one task may receive at a time.
+
+        Raises:
+            trio.ClosedResourceError: The link has ended.
         """
         if not self.opened.is_set():
             await self.opened.wait()
-        await self._take_turn()
+        await self.turns.take()
         while True:
             payload = self._receive_now()
             if payload is not None:
                 return payload
-            self.received_in_turn = 0
+            self.turns.end()
             await trio.lowlevel.wait_readable(self.socket)
 
     def forget(self, peer: LinkAddress) -> None:
@@ -218,20 +219,14 @@
             except BlockingIOError:
                 return None
             except OSError:
+                if self.socket.fileno() < 0:
+                    raise trio.ClosedResourceError from None
                 # A datagram sent before found nobody there; the next call goes on.
                 continue
             payload = self.assembly.take(sender, datagram)
             if payload is not None:
                 return payload
 
-    async def _take_turn(self) -> None:
-        self.received_in_turn += 1
-        if self.received_in_turn < RECEIVES_PER_TURN:
-            await trio.lowlevel.checkpoint_if_cancelled()
-            return
-        self.received_in_turn = 0
-        await trio.lowlevel.checkpoint()
-
 
 def ip_endpoint(peer: LinkAddress) -> tuple[str, int]:
     """Return the IP number and the port of a peer.
--- a/bergamotcourse/transport/nng_link.py
+++ b/bergamotcourse/transport/nng_link.py
@@ -14,6 +14,7 @@
 
 from bergamotcourse.errors import BergamotcourseError, Step, StepError
 from bergamotcourse.ids import LinkAddress
+from bergamotcourse.transport.receive_turns import ReceiveTurns
 
 SCHEME = "tcp://"
 
@@ -23,9 +24,6 @@
 RECONNECT_MIN_MS = 50
 RECONNECT_MAX_MS = 1000
 
-RECEIVES_PER_TURN = 16
-"""Payloads taken in a row before other tasks get their turn."""
-
 SENT = Ok(None)
 """Made once, as it would be made for each payload."""
 
@@ -119,7 +117,7 @@
         self.receive_fd = -1
         self.poll = select.poll()
         self.opened = trio.Event()
-        self.received_in_turn = 0
+        self.turns = ReceiveTurns()
 
     async def run(self) -> None:
         """Open the link and serve it until cancelled.
@@ -161,7 +159,7 @@
         """
         if not self.opened.is_set():
             await self.opened.wait()
-        await self._take_turn()
+        await self.turns.take()
         while True:
             # To ask the descriptor costs a tenth of a call that finds nothing.
             if self.poll.poll(0):
@@ -169,7 +167,7 @@
                     return self._receive_now()
                 except pynng.TryAgain:
                     pass
-            self.received_in_turn = 0
+            self.turns.end()
             await trio.lowlevel.wait_readable(self.receive_fd)
 
     def forget(self, peer: LinkAddress) -> None:
@@ -243,11 +241,3 @@
         except RuntimeError:
             # pynng cannot unpack a message of no bytes, which anyone may send.
             return b""
-
-    async def _take_turn(self) -> None:
-        self.received_in_turn += 1
-        if self.received_in_turn < RECEIVES_PER_TURN:
-            await trio.lowlevel.checkpoint_if_cancelled()
-            return
-        self.received_in_turn = 0
-        await trio.lowlevel.checkpoint()
