Leave to the profile of the tests what each test repeated

Since there is one profile for all property tests, their own derandomization and deadlines say nothing more. Two test files wrote the filling of a rack and of a stream out several times. Assertions are the same.

--- a/bergamotcourse/tests/jobs/test_item_stream.py
+++ b/bergamotcourse/tests/jobs/test_item_stream.py
@@ -7,10 +7,17 @@
 )
 
 
+def outgoing(items):
+    """Return items on their way, none of them sent."""
+    out = Outgoing()
+    for item in items:
+        out.add(item)
+    return out
+
+
 class TestOutgoing:
     def test_sends_each_item_once_until_it_is_late(self):
-        out = Outgoing()
-        out.add("a")
+        out = outgoing("a")
         assert out.take(0.0) == (1, ["a"])
         out.add("b")
         assert out.take(0.1) == (2, ["b"])
@@ -19,8 +26,7 @@
 
     def test_a_later_item_does_not_put_off_the_oldest(self):
         """Behind a lost one nothing is taken, so the lost one must not wait."""
-        out = Outgoing()
-        out.add("a")
+        out = outgoing("a")
         out.take(0.0)
         out.add("b")
         out.take(RESEND_SECONDS / 2)
@@ -28,17 +34,14 @@
         assert out.take(RESEND_SECONDS) == (1, ["a", "b"])
 
     def test_the_time_until_an_item_is_late_starts_with_each_confirmation(self):
-        out = Outgoing()
-        for item in "ab":
-            out.add(item)
+        out = outgoing("ab")
         out.take(0.0)
         out.confirm(1, 0.1)
         assert not out.is_late(RESEND_SECONDS)
         assert out.is_late(0.1 + RESEND_SECONDS)
 
     def test_waits_longer_each_time_up_to_a_bound(self):
-        out = Outgoing()
-        out.add("a")
+        out = outgoing("a")
         out.take(0.0)
         now, waits = 0.0, []
         for _ in range(5):
@@ -51,18 +54,14 @@
         assert max(waits) < MOST_RESEND_SECONDS + 0.02
 
     def test_sends_again_what_was_not_confirmed(self):
-        out = Outgoing()
-        for item in "abc":
-            out.add(item)
+        out = outgoing("abc")
         out.take(0.0)
         out.confirm(1, 0.0)
         assert out.is_late(RESEND_SECONDS)
         assert out.take(RESEND_SECONDS) == (2, ["b", "c"])
 
     def test_a_restart_numbers_the_rest_anew(self):
-        out = Outgoing()
-        for item in "abc":
-            out.add(item)
+        out = outgoing("abc")
         out.take(0.0)
         out.confirm(2, 0.0)
         out.restart()
--- a/bergamotcourse/tests/jobs/test_near_data.py
+++ b/bergamotcourse/tests/jobs/test_near_data.py
@@ -18,6 +18,12 @@
     return [fleet.rack_of(agents[run.upstream]) for run in runs]
 
 
+def fill_rack(fleet, work):
+    """Take all the room of rack-3 for so many seconds."""
+    full = job("full", tasks=10, work=work, rack="rack-3")
+    fleet.nursery.start_soon(fleet.submit, "entry-1", full)
+
+
 class TestPlacing:
     def test_tasks_run_near_their_data(self):
         async def main(fleet):
@@ -46,8 +52,7 @@
         """The rack is full for long, and the job has time for the longer run."""
 
         async def main(fleet):
-            full = job("full", tasks=10, work=3.0, rack="rack-3")
-            fleet.nursery.start_soon(fleet.submit, "entry-1", full)
+            fill_rack(fleet, work=3.0)
             await trio.sleep(0.1)
             begun = trio.current_time()
             answer = await fleet.submit(
@@ -60,8 +65,7 @@
 
     def test_they_wait_for_the_rack_where_elsewhere_is_too_late(self):
         async def main(fleet):
-            full = job("full", tasks=10, work=0.5, rack="rack-3")
-            fleet.nursery.start_soon(fleet.submit, "entry-1", full)
+            fill_rack(fleet, work=0.5)
             await trio.sleep(0.4)
             begun = trio.current_time()
             answer = await fleet.submit(
@@ -74,8 +78,7 @@
 
     def test_while_they_wait_jobs_behind_them_are_placed(self):
         async def main(fleet):
-            full = job("full", tasks=10, work=0.5, rack="rack-3")
-            fleet.nursery.start_soon(fleet.submit, "entry-1", full)
+            fill_rack(fleet, work=0.5)
             await trio.sleep(0.3)
             waiting = job("a", tasks=4, work=1.0, rack="rack-3")
             fleet.nursery.start_soon(fleet.submit, "entry-1", waiting)
--- a/bergamotcourse/tests/platform/test_front.py
+++ b/bergamotcourse/tests/platform/test_front.py
@@ -3,7 +3,7 @@
 import msgspec
 import pytest
 import trio
-from hypothesis import HealthCheck, given, settings
+from hypothesis import given, settings
 from hypothesis import strategies as st
 
 from bergamotcourse.coordination.event_log import EventLog
@@ -160,12 +160,7 @@
 
         run_fleet(main)
 
-    @settings(
-        max_examples=60,
-        deadline=None,
-        suppress_health_check=[HealthCheck.too_slow],
-        derandomize=True,
-    )
+    @settings(max_examples=60)
     @given(
         st.sampled_from(["GET", "POST", "DELETE", "X"]),
         st.text(max_size=40),
--- a/bergamotcourse/tests/protocol/test_job_body.py
+++ b/bergamotcourse/tests/protocol/test_job_body.py
@@ -30,7 +30,7 @@
 
 
 class TestParseJob:
-    @settings(derandomize=True, max_examples=200, deadline=None)
+    @settings(max_examples=200)
     @given(st.binary(max_size=200) | JSON.map(lambda v: json.dumps(v).encode()))
     def test_any_bytes_give_a_job_or_a_reason(self, content):
         parsed = parse_job(content)
@@ -54,7 +54,7 @@
 
 
 class TestTaskRequest:
-    @settings(derandomize=True, max_examples=300, deadline=None)
+    @settings(max_examples=300)
     @given(
         st.builds(
             TaskBody,
@@ -85,7 +85,7 @@
 
 
 class TestAnswerBody:
-    @settings(derandomize=True, max_examples=100, deadline=None)
+    @settings(max_examples=100)
     @given(st.lists(st.binary(max_size=30), min_size=1, max_size=5))
     def test_each_result_comes_back_in_its_place(self, bodies):
         results = [
--- a/bergamotcourse/tests/protocol/test_messages.py
+++ b/bergamotcourse/tests/protocol/test_messages.py
@@ -31,7 +31,7 @@
 class TestRoundTrip:
     @pytest.mark.parametrize("kind", get_args(AnyMessage))
     def test_each_type_comes_back_the_same(self, kind):
-        @settings(derandomize=True, max_examples=30, deadline=None, database=None)
+        @settings(max_examples=30)
         @given(envelopes(kind))
         def check(envelope):
             assert messages.decode(messages.encode(envelope)).ok == envelope
@@ -40,12 +40,12 @@
 
 
 class TestDecode:
-    @settings(derandomize=True, max_examples=500, deadline=None, database=None)
+    @settings(max_examples=500)
     @given(st.binary(max_size=200))
     def test_any_bytes_give_a_result(self, payload):
         assert messages.decode(payload).is_error()
 
-    @settings(derandomize=True, max_examples=500, deadline=None, database=None)
+    @settings(max_examples=500)
     @given(envelopes(AnyMessage), st.data())
     def test_damaged_envelopes_give_a_result(self, envelope, data):
         payload = bytearray(messages.encode(envelope))
--- a/bergamotcourse/tests/protocol/test_platform_client.py
+++ b/bergamotcourse/tests/protocol/test_platform_client.py
@@ -427,7 +427,7 @@
 
 
 class TestDifferential:
-    @settings(derandomize=True, database=None, deadline=None, max_examples=300)
+    @settings(max_examples=300)
     @given(PLANS, FATES, FOREIGN)
     def test_reports_agree_with_the_naive_store(self, plans, fates, foreign):
         run = Differential(plans, fates, foreign)
--- a/bergamotcourse/tests/state/test_keys.py
+++ b/bergamotcourse/tests/state/test_keys.py
@@ -15,7 +15,7 @@
 
 
 class TestKeyKind:
-    @settings(derandomize=True, max_examples=200, deadline=None)
+    @settings(max_examples=200)
     @given(st.integers(0, 2**40), st.integers(1, 2**30), st.integers(0, 2**44))
     def test_a_key_under_a_prefix_names_range_epoch_and_time(self, range_id, epoch, ms):
         kind = key_kind(key_prefix(range_id, epoch, ms) + "a-1")
@@ -32,7 +32,7 @@
     def test_other_keys_say_nothing(self, key):
         assert key_kind(key) == OpaqueKey()
 
-    @settings(derandomize=True, max_examples=300, deadline=None)
+    @settings(max_examples=300)
     @given(st.text(max_size=60) | st.text("bc1-0123456789abcdef", max_size=60))
     def test_any_text_is_a_key_of_some_kind(self, key):
         assert isinstance(key_kind(key), HandedOutKey | TimedKey | OpaqueKey)
--- a/bergamotcourse/tests/state/test_manifest_diff.py
+++ b/bergamotcourse/tests/state/test_manifest_diff.py
@@ -1,7 +1,7 @@
 from dataclasses import replace
 
 import msgspec
-from hypothesis import given, settings
+from hypothesis import given
 from hypothesis import strategies as st
 
 from bergamotcourse.state.manifest import (
@@ -46,11 +46,9 @@
         drains=st.lists(drains, unique=True, max_size=4),
     ),
 ).map(canonical)
-derandomized = settings(derandomize=True, deadline=None, max_examples=100)
 
 
 class TestApplyChanges:
-    @derandomized
     @given(manifests, manifests)
     def test_a_delta_leads_to_the_other_manifest_and_back(self, old, new):
         sent = msgspec.json.encode(diff_manifests(old, new))
@@ -59,7 +57,6 @@
         assert digest(after) == digest(new)
         assert digest(apply_changes(after, invert_changes(changes)).ok) == digest(old)
 
-    @derandomized
     @given(manifests)
     def test_equal_manifests_have_no_changes(self, manifest):
         assert diff_manifests(manifest, manifest).all() == []
--- a/bergamotcourse/tests/transport/test_http_server.py
+++ b/bergamotcourse/tests/transport/test_http_server.py
@@ -438,7 +438,7 @@
 
 
 class TestFuzz:
-    @settings(derandomize=True, max_examples=60, deadline=None)
+    @settings(max_examples=60)
     @given(st.lists(PIECES | st.binary(max_size=30), max_size=6).map(b"".join))
     def test_any_bytes_leave_the_server_whole(self, noise):
         async def script(server):
