Ask for what is known of agents without counting, and say things once

Cause: found on reading the change again. An entry that asked which agents it knows, for each new job and each look of the balancer, made the whole sorted choice of agents and noted its load as well; the other entries were sorted 33 times a second to find that none had come; the racks to be left were kept between calls; peers were greeted in two loops; whether an entry is settled, and what to do without an answer of the store, stood twice; a factor stood in three places. Change: known() only looks; a set is compared; the rest has one place each. Passed before the commit: tests of jobs, transport, state, protocol, and those of the store, settings, starts and processes.

--- a/bergamotcourse/coordination/jobs/agent_link.py
+++ b/bergamotcourse/coordination/jobs/agent_link.py
@@ -83,6 +83,10 @@
         """Return whether it may answer a placement without contact yet."""
         return self.opened_at is not None and now - self.opened_at < OPEN_SECONDS
 
+    def is_usable(self, now: float) -> bool:
+        """Return whether it is in contact, or about to be."""
+        return self.in_contact(now) or self.is_opening(now)
+
     def may_ask(self, now: float) -> bool:
         """Return whether an agent without contact is likely to answer."""
         if self.over or self.unanswered or self.placed or self.room is None:
--- a/bergamotcourse/coordination/jobs/agent_links.py
+++ b/bergamotcourse/coordination/jobs/agent_links.py
@@ -65,10 +65,6 @@
         """Return those with and without contact, of the share and of the rest."""
         return (self.near, self.near_quiet), (self.further, self.further_quiet)
 
-    def all(self) -> list[AgentLink]:
-        """Return all of them."""
-        return self.near + self.near_quiet + self.further + self.further_quiet
-
 
 class AgentLinks:
     """All agents that an entry has heard of.
@@ -123,7 +119,7 @@
         share = self.order.share()
         choices = Choices()
         for number, link in enumerate(links):
-            if link.in_contact(now) or link.is_opening(now):
+            if link.is_usable(now):
                 (choices.near if number < share else choices.further).append(link)
             elif link.may_open(now):
                 quiet = choices.near_quiet if number < share else choices.further_quiet
@@ -132,7 +128,9 @@
 
     def known(self) -> list[AgentLink]:
         """Return all agents at which a run may be placed."""
-        return self.choices().all()
+        now = self.timers.now()
+        links = self.links.values()
+        return [link for link in links if link.is_usable(now) or link.may_open(now)]
 
     def place(
         self, link: AgentLink, order: PlaceTask, needs: Resources, owner: Any
--- a/bergamotcourse/coordination/jobs/agent_order.py
+++ b/bergamotcourse/coordination/jobs/agent_order.py
@@ -48,7 +48,7 @@
         self.zone = zone
         self.narrow = narrow
         self.links: list[AgentLink] = []
-        self.others: list[LinkAddress] = []
+        self.others: set[LinkAddress] = set()
         self.sorted_at = float("-inf")
         self.peak = 0.0
         self.noted_at = 0.0
@@ -63,7 +63,7 @@
 
     def take_entries(self, entries: list[LinkAddress], now: float) -> None:
         """Sort anew if other entries have come or gone."""
-        others = sorted(entry for entry in entries if entry != self.own)
+        others = set(entries) - {self.own}
         if others == self.others or now - self.sorted_at < SORT_SECONDS:
             return
         self.others = others
--- a/bergamotcourse/coordination/jobs/contacts.py
+++ b/bergamotcourse/coordination/jobs/contacts.py
@@ -171,7 +171,7 @@
         self._note_entry_boot(contact, turn.entry_boot)
         if turn.session != contact.session:
             return
-        if self._ends_with_its_lease(contact):
+        if self._ends_with_its_lease(contact, self.timers.lease_now()):
             return
         self._renew(contact, turn)
         self._note_waiting(contact, turn.waiting)
@@ -237,9 +237,9 @@
 
     # Leases and sessions.
 
-    def _ends_with_its_lease(self, contact: EntryContact) -> bool:
+    def _ends_with_its_lease(self, contact: EntryContact, lease_now: float) -> bool:
         """End a session in which a lease has ended under runs; true if it was ended."""
-        if contact.lease_end is None or contact.has_lease(self.timers.lease_now()):
+        if contact.lease_end is None or contact.has_lease(lease_now):
             return False
         contact.lease_end = None
         if not self.executor.book.has_runs_of(contact.address):
@@ -271,8 +271,7 @@
     def _tick(self) -> None:
         now, lease_now = self.timers.now(), self.timers.lease_now()
         for contact in list(self.entries.values()):
-            if contact.lease_end is not None and lease_now >= contact.lease_end:
-                self._ends_with_its_lease(contact)
+            self._ends_with_its_lease(contact, lease_now)
             if now - contact.heard_at > FORGET_SECONDS:
                 self._forget(contact.address, "no answer")
             elif contact.is_due(self._period(contact, now) - TICK_SECONDS / 2, now):
--- a/bergamotcourse/coordination/jobs/job_dispatcher.py
+++ b/bergamotcourse/coordination/jobs/job_dispatcher.py
@@ -27,6 +27,7 @@
     TaskEnded,
 )
 from bergamotcourse.state.job_spec import JobId, JobQueue, JobSpec
+from bergamotcourse.state.node_settings import REMOTE_FACTOR
 
 ANSWER_SECONDS = 0.06
 """Left of a caller's time for the answer's way back."""
@@ -63,12 +64,11 @@
         timers: Timers,
         log: EventLog,
         policy: JobPolicy | None = None,
-        remote_factor: float = 1.5,
+        remote_factor: float = REMOTE_FACTOR,
     ):
         self.policy = policy or JobPolicy()
         self.remote_factor = remote_factor
         self.racks = RackDemand()
-        self.spared: frozenset[str] = frozenset()
         self.zone = zone
         self.links = links
         self.timers = timers
@@ -143,7 +143,6 @@
             return
         now = self.timers.now()
         choices = self.links.choices()
-        self.spared = self.racks.wanted(now)
         if self.policy.puts_urgent_first:
             self.waiting.sort(key=lambda job: order_key(job, now))
         blocked = 0
@@ -281,7 +280,7 @@
             step=task.spec,
             avoid=frozenset(task.avoid),
             zone=self.zone,
-            spared=self.spared,
+            spared=self.racks.wanted(now),
         )
         near = task.spec.data_rack
         if not near or not self.policy.places_near_data:
--- a/bergamotcourse/coordination/jobs/peers.py
+++ b/bergamotcourse/coordination/jobs/peers.py
@@ -81,13 +81,13 @@
         self.peers: dict[LinkAddress, Peer] = {}
         self.agents: Callable[[], list[LinkAddress]] = list
         self.asked_at = -1e9
-        queues.on_change = self._greet_some
+        queues.on_change = self._greet
 
     async def run(self) -> None:
         """Greet peers until cancelled."""
         while True:
             self._tick()
-            settled = self.agents() and self.queues.version
+            settled = self._is_settled()
             await trio.sleep(GREET_SECONDS if settled else FIRST_ASKS_SECONDS)
 
     def learn(self, addresses: list[LinkAddress], from_settings: bool = False) -> None:
@@ -145,26 +145,26 @@
             if now - peer.heard_at > FORGET_SECONDS and not peer.from_settings:
                 self.log.write("peer.forgotten", peer=peer.address)
                 del self.peers[peer.address]
-        asked = self._number_asked(now)
-        for index, peer in enumerate(self._draw()):
-            self.mailer.post(peer, self._greeting(asks=index < asked))
+        self._greet(self._number_asked(now))
 
     def _number_asked(self, now: float) -> int:
         """Return how many of this round are asked for everyone known."""
-        settled = bool(self.agents()) and bool(self.queues.version)
+        settled = self._is_settled()
         if settled and now - self.asked_at < ASK_SECONDS:
             return 0
         self.asked_at = now
         return 1 if settled else GREETED_AT_ONCE
 
-    def _greet_some(self) -> None:
-        for peer in self._draw():
-            self.mailer.post(peer, self._greeting(asks=False))
+    def _is_settled(self) -> bool:
+        """Return whether this process knows agents and a configuration."""
+        return bool(self.agents()) and bool(self.queues.version)
 
-    def _draw(self) -> list[LinkAddress]:
-        """Return the peers of a round of greetings."""
+    def _greet(self, asked: int = 0) -> None:
+        """Greet the peers of a round, and ask so many of them for everyone known."""
         peers = list(self.peers)
-        return self.rng.sample(peers, min(GREETED_AT_ONCE, len(peers)))
+        drawn = self.rng.sample(peers, min(GREETED_AT_ONCE, len(peers)))
+        for index, peer in enumerate(drawn):
+            self.mailer.post(peer, self._greeting(asks=index < asked))
 
     def _greeting(self, asks: bool, whole: bool = False) -> Hello:
         entries = list(self.peers) if whole else []
--- a/bergamotcourse/coordination/jobs/store_watch.py
+++ b/bergamotcourse/coordination/jobs/store_watch.py
@@ -2,6 +2,7 @@
 
 import random
 from collections.abc import Callable
+from typing import TypeVar
 
 import trio
 from expression import Result
@@ -13,6 +14,8 @@
 from bergamotcourse.protocol.job_store import ConfigRead, HistoryGoneError, JobStore
 from bergamotcourse.protocol.upstream_orders import UpstreamReport
 
+T = TypeVar("T")
+
 CALL_SECONDS = 1.0
 """For a call to the store that waits for nothing; 250 times its usual answer."""
 
@@ -198,16 +201,14 @@
 
         Of its own only: 160 agents that start at once and read all rows read 10 MB.
         """
-        result = await self.store.read_upstream(agent, CALL_SECONDS)
-        if result.is_ok():
-            return result.ok
-        self.log.write("store.upstreams_not_read", error=str(result.error))
-        return None
+        return self._value(await self.store.read_upstream(agent, CALL_SECONDS), None)
 
     async def read(self) -> dict[LinkAddress, UpstreamReport]:
         """Return the reports by agent; nothing if the store does not answer."""
-        result = await self.store.read_upstreams(CALL_SECONDS)
-        if result.is_ok():
-            return result.ok
-        self.log.write("store.upstreams_not_read", error=str(result.error))
-        return {}
+        return self._value(await self.store.read_upstreams(CALL_SECONDS), {})
+
+    def _value(self, result: Result[T, StepError], instead: T) -> T:
+        """Return what was read; without an answer tell of it, and return another."""
+        if result.is_error():
+            self.log.write("store.upstreams_not_read", error=str(result.error))
+        return result.default_value(instead)
--- a/bergamotcourse/platform/settings_file.py
+++ b/bergamotcourse/platform/settings_file.py
@@ -5,7 +5,11 @@
 
 from bergamotcourse.errors import BergamotcourseError, Step, StepError
 from bergamotcourse.ids import ServiceName, ZoneName
-from bergamotcourse.state.node_settings import Endpoint, NodeSettings
+from bergamotcourse.state.node_settings import (
+    REMOTE_FACTOR,
+    Endpoint,
+    NodeSettings,
+)
 
 PORT = re.compile(r"[0-9]{1,5}")
 
@@ -68,7 +72,7 @@
         store=endpoint(fields["platform.address"]),
         service=ServiceName(fields.get("service", "")),
         stop_seconds=float(fields.get("bounds.grace_s") or 6),
-        remote_factor=float(fields.get("bounds.remote_factor") or 1.5),
+        remote_factor=float(fields.get("bounds.remote_factor") or REMOTE_FACTOR),
     )
 
 
--- a/bergamotcourse/state/node_settings.py
+++ b/bergamotcourse/state/node_settings.py
@@ -4,6 +4,10 @@
 
 from bergamotcourse.ids import ServiceName, ZoneName
 
+REMOTE_FACTOR = 1.5
+"""Of a platform that does not say. It decides between waiting for room near the data
+and going elsewhere; a task goes near its data in any case where that has room."""
+
 
 @dataclass(frozen=True)
 class Endpoint:
@@ -44,4 +48,4 @@
     store: Endpoint
     service: ServiceName
     stop_seconds: float
-    remote_factor: float = 1.5
+    remote_factor: float = REMOTE_FACTOR
--- a/bergamotcourse/virtual/job_fleet.py
+++ b/bergamotcourse/virtual/job_fleet.py
@@ -58,10 +58,9 @@
     work: float = 0.2,
     estimate: float = 0.0,
     rack: str = "",
-    needs: Resources = NEEDS,
 ) -> JobSpec:
     """Return a job; its payload tells the stand-in the work and where its data is."""
-    step = StepSpec(tasks, needs, estimate or work, data_rack=rack)
+    step = StepSpec(tasks, NEEDS, estimate or work, data_rack=rack)
     payload = f"{work}{NEAR}{rack}" if rack else str(work)
     return JobSpec(JobId(name), payload, (step,))
 
