Tell of reports that are passed over and of runs that an upstream does not list

The logs could not tell whether an agent passed over what an upstream said after it had started again under its id: a report of a lower sequence was dropped without a line, and a run that was neither listed nor ended only showed as one without progress. upstream.report_old and run.unlisted tell it, with the start that the upstream names of itself (born, decoded in the adapter as the incarnation; 0 where it is not told) beside the one known.

No decision is changed.

--- a/bergamotcourse/coordination/jobs/executor.py
+++ b/bergamotcourse/coordination/jobs/executor.py
@@ -107,6 +107,8 @@
         if life is not None and life.report.id == report.id:
             if report.sequence >= life.report.sequence:
                 self._update(life, report)
+            else:
+                self._pass_over(report, life.report)
             return True
         if report.id in self.former:
             self.log.write("upstream.report_ignored", upstream=report.id)
@@ -116,6 +118,18 @@
         self._begin_life(report)
         return True
 
+    def _pass_over(self, report: UpstreamReport, last: UpstreamReport) -> None:
+        """Tell of a report that is older than the last."""
+        self.log.write(
+            "upstream.report_old",
+            upstream=report.id,
+            draining=report.draining,
+            sequence=report.sequence,
+            last_sequence=last.sequence,
+            incarnation=report.incarnation,
+            last_incarnation=last.incarnation,
+        )
+
     async def recall(self, report: UpstreamReport) -> None:
         """Take up an upstream by a former report, if that life still answers."""
         port = self.connect(report)
@@ -269,6 +283,7 @@
         if run.state is RunState.STARTING:
             run.state = RunState.RUNNING
         run.started_at = run.progress_at = self.timers.now()
+        run.confirmed = self.holds
         self.wake.set()
         if run.stop_wanted:
             self._spawn_stop(run)
@@ -437,11 +452,30 @@
             running = listed.get(run.key)
             if running is not None:
                 self._note_progress(run, running.progress, now)
-            elif 0 <= run.barred < number:
+                continue
+            if 0 <= run.confirmed < number and not run.unlisted:
+                self._note_unlisted(run, life, holding)
+            if 0 <= run.barred < number:
                 self.book.finish(run, Outcome.RETURNED, "stopped before it started")
         self._move_runs(now)
         self.pump()
 
+    def _note_unlisted(
+        self, run: PlacedRun, life: UpstreamLife, holding: Holding
+    ) -> None:
+        """Tell of a run that has started and that the upstream does not know."""
+        run.unlisted = True
+        self.log.write(
+            "run.unlisted",
+            request=run.order.request,
+            task=run.key.task,
+            run=run.key.number,
+            upstream=life.report.id,
+            noted=life.noted,
+            incarnation=holding.incarnation,
+            last_incarnation=life.report.incarnation,
+        )
+
     def _move_runs(self, now: float) -> None:
         """Stop the runs that would be done sooner elsewhere."""
         was_on_trial = self.health.on_trial()
@@ -493,6 +527,7 @@
         self.log.write(
             "upstream.found",
             upstream=report.id,
+            incarnation=report.incarnation,
             service=report.service,
             cpu=report.capacity.cpu,
         )
--- a/bergamotcourse/ids.py
+++ b/bergamotcourse/ids.py
@@ -14,6 +14,9 @@
 ZoneName = NewType("ZoneName", str)
 RegionName = NewType("RegionName", str)
 
+Incarnation = NewType("Incarnation", int)
+"""Orders the lives of an upstream that starts again under its id; 0 if not told."""
+
 LinkAddress = NewType("LinkAddress", str)
 """Where a process receives messages of other processes, ``tcp://IP:PORT``."""
 
--- a/bergamotcourse/platform/documents.py
+++ b/bergamotcourse/platform/documents.py
@@ -5,7 +5,13 @@
 
 import msgspec
 
-from bergamotcourse.ids import ConfigVersion, ServiceName, UpstreamId, ZoneName
+from bergamotcourse.ids import (
+    ConfigVersion,
+    Incarnation,
+    ServiceName,
+    UpstreamId,
+    ZoneName,
+)
 from bergamotcourse.platform.settings_file import is_address
 from bergamotcourse.protocol.upstream_orders import UpstreamReport
 from bergamotcourse.state.job_spec import (
@@ -93,6 +99,9 @@
 
     What another writer sends may lack a field: a report without a capacity or a clock
     would put an upstream to which nothing can be placed in the place of a sound one.
+
+    Attributes:
+        born: Milliseconds since 1970 at the start of the worker's process.
     """
 
     service: str
@@ -103,6 +112,7 @@
     capacity: WireCapacity
     clock_ms: Amount
     labels: list[str] = []
+    born: Amount = 0
 
 
 _config = msgspec.json.Decoder(WireConfig)
@@ -217,4 +227,5 @@
         draining=beat.state is WireState.DRAINING,
         sequence=beat.sequence,
         clock=beat.clock_ms / 1000,
+        incarnation=Incarnation(beat.born),
     )
--- a/bergamotcourse/platform/worker_orders.py
+++ b/bergamotcourse/platform/worker_orders.py
@@ -2,7 +2,7 @@
 
 import msgspec
 
-from bergamotcourse.ids import UpstreamId
+from bergamotcourse.ids import Incarnation, UpstreamId
 from bergamotcourse.platform.settings_file import endpoint
 from bergamotcourse.protocol.upstream_orders import (
     EndedRun,
@@ -82,11 +82,16 @@
 
 
 class WireHolding(msgspec.Struct):
-    """Rows of (task, run, saved, percent, ..) and of (number, task, run, how, ..)."""
+    """Rows of (task, run, saved, percent, ..) and of (number, task, run, how, ..).
+
+    Attributes:
+        born: Milliseconds since 1970 at the start of the worker's process.
+    """
 
     clock_ms: int
     running: list[list] = []
     ended: list[list] = []
+    born: int = 0
 
 
 _reply = msgspec.json.Decoder(WireReply)
@@ -206,4 +211,4 @@
         )
     except (msgspec.DecodeError, LookupError, TypeError):
         return HoldFailure.REFUSED
-    return Holding(wire.clock_ms / 1000, running, ended)
+    return Holding(wire.clock_ms / 1000, running, ended, Incarnation(wire.born))
--- a/bergamotcourse/protocol/upstream_orders.py
+++ b/bergamotcourse/protocol/upstream_orders.py
@@ -10,7 +10,13 @@
 
 import msgspec
 
-from bergamotcourse.ids import RackName, ServiceName, UpstreamId, ZoneName
+from bergamotcourse.ids import (
+    Incarnation,
+    RackName,
+    ServiceName,
+    UpstreamId,
+    ZoneName,
+)
 from bergamotcourse.state.job_spec import TaskName
 from bergamotcourse.state.resources import Resources
 
@@ -52,10 +58,11 @@
     """What an upstream says of itself.
 
     Attributes:
-        id: Names one life of the upstream.
+        id: Names the upstream.
         address: ``IP:PORT`` where it takes orders.
         sequence: Rises with each report of one life.
         clock: Seconds on its steady clock.
+        incarnation: Rises each time it starts under this id.
     """
 
     id: UpstreamId
@@ -67,6 +74,7 @@
     draining: bool
     sequence: int
     clock: float
+    incarnation: Incarnation = Incarnation(0)
 
     @property
     def rack(self) -> RackName:
@@ -102,6 +110,7 @@
     clock: float
     running: tuple[RunningRun, ...]
     ended: tuple[EndedRun, ...]
+    incarnation: Incarnation = Incarnation(0)
 
 
 @dataclass(frozen=True)
--- a/bergamotcourse/tests/platform/test_documents.py
+++ b/bergamotcourse/tests/platform/test_documents.py
@@ -116,6 +116,11 @@
         assert report.rack == "r1-3"
         assert not report.draining
 
+    @pytest.mark.parametrize("told, incarnation", [({}, 0), ({"born": 1780}, 1780)])
+    def test_tells_the_life(self, told, incarnation):
+        report = decode_report("i-1", encoded(BEAT, **told))
+        assert report.incarnation == incarnation
+
     def test_of_one_that_leaves(self):
         assert decode_report("i-1", encoded(BEAT, state="draining")).draining
 
--- a/bergamotcourse/tests/platform/test_worker_orders.py
+++ b/bergamotcourse/tests/platform/test_worker_orders.py
@@ -112,6 +112,11 @@
             "wait_ms": 100,
         }
 
+    def test_tells_the_life_that_answers(self):
+        worker = Worker(200, {"clock_ms": 1000, "born": 1780})
+        holding = with_worker(worker, lambda orders: orders.hold(0, None, 0.0, 1.0))
+        assert holding.incarnation == 1780
+
     def test_a_look_renews_nothing(self):
         worker = Worker()
         with_worker(worker, lambda orders: orders.hold(0, None, 0.0, 1.0))
