Bring about what callers saw of upstreams that start again under their id

The stand-in upstream can start again under its id: it then knows nothing of before, and its clock, its reports and its ends count from the start anew.

--- /dev/null
+++ b/bergamotcourse/tests/jobs/test_upstream_restart.py
@@ -0,0 +1,89 @@
+"""Upstreams that start again under the id that they had, and count anew."""
+
+import pytest
+import trio
+
+from bergamotcourse.coordination.jobs.job_run import JobOutcome
+from bergamotcourse.tests.jobs.fleets import run_fleet
+from bergamotcourse.virtual.job_fleet import REPORT_SECONDS, job
+
+AWAY_SECONDS = 1.0
+
+
+async def serve_jobs(fleet, count, tasks=8):
+    """Let some jobs run, so that ends and reports have been counted."""
+    for number in range(count):
+        answer = await fleet.submit("entry-1", job(f"before-{number}", tasks))
+        assert answer.outcome is JobOutcome.SUCCEEDED
+
+
+async def restart(fleet, agent="agent-1", seconds=AWAY_SECONDS):
+    """Let an upstream crash and start again under its id."""
+    fleet.upstreams[agent].crash()
+    await trio.sleep(seconds)
+    return fleet.restart_upstream(agent)
+
+
+def runs_of(fleet, name):
+    return [run for run in fleet.history if run.key.task.startswith(f"{name}.")]
+
+
+class TestLeaving:
+    def test_of_a_life_that_counts_anew_is_heeded(self):
+        """Tasks reached an upstream two seconds after it had said that it leaves.
+
+        It had started again 3.3 s before. Its agent logged no leaving, though it had
+        acknowledged the report within 1 ms.
+        """
+
+        async def main(fleet):
+            await trio.sleep(4 * REPORT_SECONDS)
+            upstream = await restart(fleet)
+            await trio.sleep(REPORT_SECONDS)
+            upstream.draining = True
+            await trio.sleep(2 * REPORT_SECONDS)
+            await fleet.submit("entry-1", job("after", tasks=1), seconds=2.0)
+            assert runs_of(fleet, "after") == []
+
+        run_fleet(main, agents=1)
+
+
+class TestEnds:
+    def test_of_a_life_that_counts_anew_are_taken(self):
+        """A job was refused with the word that it had not run, and had run.
+
+        Its upstream had started again 0.15 s before, and ended the task as done after
+        174 ms. Its agent logged "no progress at 0.98" for the task half a second later.
+        """
+
+        async def main(fleet):
+            await serve_jobs(fleet, count=4)
+            await restart(fleet)
+            await trio.sleep(2 * REPORT_SECONDS)
+            answer = await fleet.submit("entry-1", job("after", tasks=2))
+            assert answer.outcome is JobOutcome.SUCCEEDED
+            assert len(runs_of(fleet, "after")) == 2
+
+        run_fleet(main, agents=1)
+
+
+class TestUnlisted:
+    @pytest.mark.parametrize("after", [0.0, 0.05, 0.2, 0.4])
+    def test_a_run_that_has_started_is_not_told_as_not_run(self, after):
+        """A job was refused with the word that it had not run, and had run.
+
+        Its agent logged "started" for the task, and 0.76 s later that it had been
+        "stopped before it started".
+        """
+
+        async def main(fleet):
+            fleet.tells_incarnations = False
+            await serve_jobs(fleet, count=4)
+            fleet.upstreams["agent-1"].crash()
+            fleet.restart_upstream("agent-1")
+            await trio.sleep(after)
+            answer = await fleet.submit("entry-1", job("after", tasks=1))
+            assert runs_of(fleet, "after")
+            assert answer.outcome is not JobOutcome.REFUSED
+
+        run_fleet(main, agents=1)
