Tell the lives of an upstream apart by its start, not by its id alone

What callers saw: tasks reached an upstream two seconds and more after it had said that it leaves (DRAIN), and a job refused as not run had run (REFUSED).

Cause: an upstream may start again under its id, and then its reports and the numbers of its ends count anew. The agent took the new life for the former one. A report of a lower sequence was dropped as overtaken, the leaving with it; and renewals went on to confirm ends up to the number noted in the former life, so the upstream forgot ends that nobody had read.

Ruled out: ends lost between agent and entry (the agent itself told them so); entries that placed by an older load (the agent itself knew of no leaving).

Why it holds: a life is named by id and start. A greater start begins another life, with all that is counted in a life counted anew; a lower one is a report that was delayed. This also lets an upstream that left come back under its id: it was passed over for good. An upstream that does not tell its start is told apart by its id, as before.

Both listed tests pass, and two of the identity itself; all four fail without the change.

--- a/bergamotcourse/coordination/jobs/executor.py
+++ b/bergamotcourse/coordination/jobs/executor.py
@@ -22,7 +22,7 @@
 from bergamotcourse.coordination.jobs.upstream_health import UpstreamHealth
 from bergamotcourse.coordination.jobs.upstream_life import UpstreamLife
 from bergamotcourse.coordination.timers import Timers
-from bergamotcourse.ids import LinkAddress
+from bergamotcourse.ids import Incarnation, LinkAddress, UpstreamId
 from bergamotcourse.protocol.task_messages import Outcome, PlaceTask
 from bergamotcourse.protocol.upstream_orders import (
     EndedRun,
@@ -65,6 +65,7 @@
         book: The runs.
         may_start: Asked right before an order to start whether the entry that placed
             the run is still in contact.
+        known: The last incarnation of each upstream that was here.
         former_ends: Ends of runs that this process has not started.
         born: When this process began; runs of an earlier one are over
             ``LAPSE_SECONDS`` after it.
@@ -87,7 +88,7 @@
         self.may_start: Callable[[LinkAddress], bool] = lambda _entry: True
         self.born = timers.lease_now()
         self.life: UpstreamLife | None = None
-        self.former: set[str] = set()
+        self.known: dict[UpstreamId, Incarnation] = {}
         self.former_ends = FormerEnds()
         self.holds = 0
         self.paused_until = 0.0
@@ -104,20 +105,34 @@
     def hear_upstream(self, report: UpstreamReport) -> bool:
         """Take an upstream's report of itself; false if it is of a former life."""
         life = self.life
-        if life is not None and life.report.id == report.id:
+        # Not by the id alone: one that starts again under its id counts its reports
+        # and its ends anew, and they would be passed over as old ones.
+        if life is not None and life.report.life == report.life:
             if report.sequence >= life.report.sequence:
                 self._update(life, report)
             else:
                 self._pass_over(report, life.report)
             return True
-        if report.id in self.former:
-            self.log.write("upstream.report_ignored", upstream=report.id)
+        if self._is_of_former_life(report):
+            self.log.write(
+                "upstream.report_ignored",
+                upstream=report.id,
+                incarnation=report.incarnation,
+            )
             return False
         if life is not None:
-            self._end_life("another upstream at its place")
+            again = life.report.id == report.id
+            self._end_life(
+                "it has started again" if again else "another upstream at its place"
+            )
         self._begin_life(report)
         return True
 
+    def _is_of_former_life(self, report: UpstreamReport) -> bool:
+        """Return whether a report was delayed until that life was over."""
+        known = self.known.get(report.id)
+        return known is not None and report.incarnation <= known
+
     def _pass_over(self, report: UpstreamReport, last: UpstreamReport) -> None:
         """Tell of a report that is older than the last."""
         self.log.write(
@@ -520,6 +535,7 @@
     def _begin_life(self, report: UpstreamReport) -> None:
         now = self.timers.lease_now()
         lead = report.clock - now
+        self.known[report.id] = report.incarnation
         self.life = UpstreamLife(
             report, self.connect(report), lead, self.born + LAPSE_SECONDS
         )
@@ -554,7 +570,6 @@
     def _end_life(self, why: str) -> None:
         life = self.life
         self.life = None
-        self.former.add(life.report.id)
         self.log.write("upstream.gone", upstream=life.report.id, why=why)
         self.nursery.start_soon(life.port.aclose)
         self.book.return_waiting("the upstream is gone")
--- a/bergamotcourse/protocol/upstream_orders.py
+++ b/bergamotcourse/protocol/upstream_orders.py
@@ -6,7 +6,7 @@
 
 from dataclasses import dataclass
 from enum import Enum
-from typing import Protocol
+from typing import NamedTuple, Protocol
 
 import msgspec
 
@@ -53,6 +53,13 @@
     number: int
 
 
+class LifeKey(NamedTuple):
+    """Names one life of an upstream: it may start again under its id."""
+
+    upstream: UpstreamId
+    incarnation: Incarnation
+
+
 @dataclass(frozen=True)
 class UpstreamReport:
     """What an upstream says of itself.
@@ -76,6 +83,11 @@
     clock: float
     incarnation: Incarnation = Incarnation(0)
 
+    @property
+    def life(self) -> LifeKey:
+        """Return the life that reports."""
+        return LifeKey(self.id, self.incarnation)
+
     @property
     def rack(self) -> RackName:
         """Return the rack, which is the last of the labels."""
--- a/bergamotcourse/tests/jobs/test_upstream_restart.py
+++ b/bergamotcourse/tests/jobs/test_upstream_restart.py
@@ -32,8 +32,10 @@
     def test_of_a_life_that_counts_anew_is_heeded(self):
         """Tasks reached an upstream two seconds after it had said that it leaves.
 
-        It had started again 3.3 s before. Its agent logged no leaving, though it had
-        acknowledged the report within 1 ms.
+        It had started again 3.3 s before, under the id that it had, and counted its
+        reports from 1. Its agent went by the id alone, so it took the report for one
+        that had been overtaken: it logged "upstream.answers" after the start, and no
+        "upstream.draining", though it had acknowledged the report within 1 ms.
         """
 
         async def main(fleet):
@@ -52,8 +54,10 @@
     def test_of_a_life_that_counts_anew_are_taken(self):
         """A job was refused with the word that it had not run, and had run.
 
-        Its upstream had started again 0.15 s before, and ended the task as done after
-        174 ms. Its agent logged "no progress at 0.98" for the task half a second later.
+        Its upstream had started again 0.15 s before, under the id that it had, and
+        numbered its ends from 1. Its agent went by the id alone and had noted higher
+        numbers, so the upstream, which ended the task as done after 174 ms, forgot that
+        end as noted. The agent logged "no progress at 0.98" half a second later.
         """
 
         async def main(fleet):
@@ -87,3 +91,29 @@
             assert answer.outcome is not JobOutcome.REFUSED
 
         run_fleet(main, agents=1)
+
+
+class TestIdentity:
+    def test_a_report_of_the_life_before_is_ignored(self):
+        async def main(fleet):
+            late = fleet.upstreams["agent-1"].report()
+            await restart(fleet)
+            await trio.sleep(REPORT_SECONDS)
+            executor = fleet.agents["agent-1"].executor
+            assert not executor.hear_upstream(late)
+            assert executor.life.report.incarnation == late.incarnation + 1
+
+        run_fleet(main)
+
+    def test_one_that_left_may_start_again_under_its_id(self):
+        async def main(fleet):
+            upstream = fleet.upstreams["agent-1"]
+            upstream.crash()
+            executor = fleet.agents["agent-1"].executor
+            executor.upstream_left(upstream.id)
+            assert executor.refusal() == "no upstream"
+            fleet.restart_upstream("agent-1")
+            await trio.sleep(REPORT_SECONDS)
+            assert executor.refusal() is None
+
+        run_fleet(main)
