Tell a run whose start was confirmed as lost, never as not started

What callers saw: 503 with the word that the job had not run (REFUSED), for a job whose task had ended as done 0.6 s before.

Cause: an agent took each run that was barred and is not listed for one that had never begun, whatever the upstream had said to the order to start.

Why it holds: whether a run has started is what the upstream has said, not what is missing in a list. A run whose start was confirmed before a renewal began and that this renewal lists neither as running nor as ended is over: it is told as lost, at once, and its entry no longer counts it as never begun. Before, it took room for 0.6 s until it was stopped for want of progress.

--- a/bergamotcourse/coordination/jobs/executor.py
+++ b/bergamotcourse/coordination/jobs/executor.py
@@ -467,19 +467,21 @@
             running = listed.get(run.key)
             if running is not None:
                 self._note_progress(run, running.progress, now)
-                continue
-            if 0 <= run.confirmed < number and not run.unlisted:
-                self._note_unlisted(run, life, holding)
-            if 0 <= run.barred < number:
+            elif 0 <= run.confirmed < number:
+                self._lose_unlisted(run, life, holding)
+            elif 0 <= run.barred < number:
                 self.book.finish(run, Outcome.RETURNED, "stopped before it started")
         self._move_runs(now)
         self.pump()
 
-    def _note_unlisted(
+    def _lose_unlisted(
         self, run: PlacedRun, life: UpstreamLife, holding: Holding
     ) -> None:
-        """Tell of a run that has started and that the upstream does not know."""
-        run.unlisted = True
+        """Give up a run that has started and that the upstream does not know.
+
+        It is over, and may have run to its end. Told as never started, it would let
+        its entry refuse the job as one that has not run.
+        """
         self.log.write(
             "run.unlisted",
             request=run.order.request,
@@ -490,6 +492,7 @@
             incarnation=holding.incarnation,
             last_incarnation=life.report.incarnation,
         )
+        self.book.finish(run, Outcome.LOST, "the upstream does not know it")
 
     def _move_runs(self, now: float) -> None:
         """Stop the runs that would be done sooner elsewhere."""
--- a/bergamotcourse/coordination/jobs/task_runs.py
+++ b/bergamotcourse/coordination/jobs/task_runs.py
@@ -28,7 +28,6 @@
         placed_at: When it came.
         started_at: When the upstream confirmed its start; 0 before.
         confirmed: Number of holds begun by then; -1 before.
-        unlisted: A later hold listed neither the run nor its end.
         asked_start: An order to start has left, so it may run.
         stop_wanted: It must end, whatever else happens.
         moves: It is stopped because it would be done sooner elsewhere.
@@ -43,7 +42,6 @@
     state: RunState = RunState.QUEUED
     started_at: float = 0.0
     confirmed: int = -1
-    unlisted: bool = False
     asked_start: bool = False
     stop_wanted: bool = False
     moves: bool = False
--- a/bergamotcourse/tests/jobs/test_upstream_log.py
+++ b/bergamotcourse/tests/jobs/test_upstream_log.py
@@ -22,7 +22,7 @@
 
 
 class TestUnlistedRuns:
-    def test_are_told_once(self):
+    def test_are_told(self):
         async def main(fleet):
             fleet.nursery.start_soon(fleet.submit, "entry-1", job("a", 2, 2.0))
             await trio.sleep(0.3)
--- a/bergamotcourse/tests/jobs/test_upstream_restart.py
+++ b/bergamotcourse/tests/jobs/test_upstream_restart.py
@@ -77,7 +77,9 @@
         """A job was refused with the word that it had not run, and had run.
 
         Its agent logged "started" for the task, and 0.76 s later that it had been
-        "stopped before it started".
+        "stopped before it started": it took each run that was barred and not listed for
+        one that had never begun, also those whose start it had been told. The entry
+        counts such a run as none, and refused the job within 1 ms.
         """
 
         async def main(fleet):
