Bring about what orders to a former life do to the life after it

Found on reading for the same cause elsewhere; no caller has reported it. Until an upstream that has started again under its id reports itself, orders meant for its former life reach it:

- a run that began in the former life is told as never begun, since the new one does not list it; a run that the new one began is given up with the former life, and runs on beside the next run of its task, whose renewals keep it;
- the lease asked for on the former clock is up to 1.0 s in place of 0.65, so a run outlives the time after which an entry places it again.

--- a/bergamotcourse/tests/jobs/test_upstream_restart.py
+++ b/bergamotcourse/tests/jobs/test_upstream_restart.py
@@ -119,3 +119,55 @@
             assert executor.refusal() is None
 
         run_fleet(main)
+
+
+class TestOrdersToTheLifeBefore:
+    @pytest.mark.parametrize("away", [0.05, 0.1, 0.2, 0.3])
+    def test_do_not_reach_the_life_after_it(self, away):
+        """A run was told as over, or as never begun, and had begun or ran on."""
+
+        async def main(fleet):
+            upstream = fleet.upstreams["agent-1"]
+            carry_out = upstream.start
+
+            def start_and_be_cut_off(order, token):
+                fleet.cut_upstreams.add("agent-1")
+                return carry_out(order, token)
+
+            async def come_back():
+                while not fleet.history:
+                    await trio.sleep(0.01)
+                await trio.sleep(away)
+                upstream.crash()
+                fleet.restart_upstream("agent-1")
+                fleet.cut_upstreams.clear()
+
+            upstream.start = start_and_be_cut_off
+            fleet.nursery.start_soon(come_back)
+            await fleet.submit("entry-1", job("a", tasks=1, work=2.0))
+            began = {run.key.number for run in fleet.history}
+            told = fleet.logged("run.end")
+            never_began = {end["run"] for end in told if end["outcome"] == "returned"}
+            assert began & never_began == set()
+            assert fleet.overlaps() == []
+
+        run_fleet(main, agents=1)
+
+    @pytest.mark.parametrize("quiet", [0.30, 0.34, 0.38])
+    def test_do_not_keep_a_run_longer_than_is_counted(self, quiet):
+        """Two runs of a task overlapped after its agent was lost."""
+
+        async def main(fleet):
+            await trio.sleep(10 * REPORT_SECONDS)
+            await restart(fleet, seconds=0.0)
+            # Its entry hears nothing more of the agent.
+            fleet.network.cut("tcp://agent-1", "tcp://entry-1")
+            await trio.sleep(quiet)
+            spec = job("a", tasks=20, work=3.0)
+            fleet.nursery.start_soon(fleet.submit, "entry-1", spec)
+            await trio.sleep(0.02)
+            fleet.agents["agent-1"].kill()
+            await trio.sleep(3.0)
+            assert fleet.overlaps() == []
+
+        run_fleet(main, agents=3)
