Give orders only on connections whose process is the life that is meant

What callers could have seen: a job refused as not run that had run, and two runs of one task at once.

The platform refuses an order that names another id, and nothing else tells the lives of one id apart, so between an upstream's start and its next report (1.5 s) orders meant for the former life were carried out by the new one: with a lease by the former clock, 1.0 s in place of 0.65, and with answers that say nothing of what ran before.

Ruled out: comparing the start only in answers. By then the order is carried out, and the lease it asked for can't be shortened.

Change: the HTTP client can greet a server on each new connection. A port looks at its upstream first, renewing and noting nothing, and gives orders only if the answer tells the start that is meant; otherwise each call has the outcome that an upstream of another id gives. One look a connection, from the machine itself.

Why it holds: a connection ends with the process that accepted it, so what is sent on a checked one reaches that process or none. An upstream that does not tell its start is not looked at.

--- a/bergamotcourse/coordination/jobs/executor.py
+++ b/bergamotcourse/coordination/jobs/executor.py
@@ -153,7 +153,10 @@
         if self.life is not None or not isinstance(answer, Holding):
             return
         self.log.write("upstream.recalled", upstream=report.id)
-        self._begin_life(replace(report, clock=answer.clock, sequence=0))
+        incarnation = answer.incarnation or report.incarnation
+        self._begin_life(
+            replace(report, clock=answer.clock, sequence=0, incarnation=incarnation)
+        )
 
     def upstream_left(self, upstream: str) -> None:
         """Take the planned end of an upstream."""
--- a/bergamotcourse/platform/worker_orders.py
+++ b/bergamotcourse/platform/worker_orders.py
@@ -2,13 +2,14 @@
 
 import msgspec
 
-from bergamotcourse.ids import Incarnation, UpstreamId
+from bergamotcourse.ids import Incarnation
 from bergamotcourse.platform.settings_file import endpoint
 from bergamotcourse.protocol.upstream_orders import (
     EndedRun,
     EndKind,
     HoldFailure,
     Holding,
+    LifeKey,
     RunKey,
     RunningRun,
     StartOrder,
@@ -18,11 +19,12 @@
 )
 from bergamotcourse.state.job_spec import TaskName
 from bergamotcourse.transport.http import HttpRequest, HttpResponse
-from bergamotcourse.transport.http_client import HttpClient
+from bergamotcourse.transport.http_client import Greeting, HttpClient
 
 JSON = ("content-type", "application/json")
 BOOT_HEADER = "bergamotcourse-expected-instance"
 OTHER_BOOT_STATUS = 421
+UNREADABLE_STATUS = 502
 UNHEALTHY_STATUSES = (429, 503)
 
 VERDICTS = {
@@ -99,20 +101,30 @@
 
 
 class WorkerOrders:
-    """Gives orders to one life of one worker."""
+    """Gives orders to one life of one worker.
 
-    def __init__(self, upstream: UpstreamId, address: str, token: int):
+    The worker itself refuses what is meant for another id, but not what is meant for a
+    former life under its id. So each connection is used only once the process at its
+    other end has told that it is the life that is meant.
+    """
+
+    def __init__(self, life: LifeKey, address: str, token: int):
         where = endpoint(address)
+        self.life = life
+        self.headers = [JSON, (BOOT_HEADER, life.upstream)]
+        self.token = token
         self.client = HttpClient(
-            where.host, where.port, connections=CONNECTIONS, idle_seconds=IDLE_SECONDS
+            where.host,
+            where.port,
+            connections=CONNECTIONS,
+            idle_seconds=IDLE_SECONDS,
+            greeting=self._greeting() if life.incarnation else None,
         )
-        self.headers = [JSON, (BOOT_HEADER, upstream)]
-        self.token = token
 
     @classmethod
     def connect(cls, report: UpstreamReport, token: int) -> "WorkerOrders":
         """Return the port to a worker that has reported itself."""
-        return cls(report.id, report.address, token)
+        return cls(report.life, report.address, token)
 
     async def start(self, order: StartOrder, timeout: float) -> StartReply:
         """Order a run to start."""
@@ -157,14 +169,30 @@
     async def _call(
         self, name: str, body: msgspec.Struct, timeout: float
     ) -> HttpResponse | None:
-        request = HttpRequest(
+        result = await self.client.request(self._request(name, body), timeout)
+        return result.ok if result.is_ok() else None
+
+    def _request(self, name: str, body: msgspec.Struct) -> HttpRequest:
+        return HttpRequest(
             "POST",
             f"/bergamotcourse/{name}",
             list(self.headers),
             msgspec.json.encode(body),
         )
-        result = await self.client.request(request, timeout)
-        return result.ok if result.is_ok() else None
+
+    def _greeting(self) -> Greeting:
+        """Return a look at what runs, which tells the life that answers."""
+        return Greeting(self._request("hold", WireHold(self.token)), self._refusal)
+
+    def _refusal(self, response: HttpResponse) -> HttpResponse | None:
+        """Return a refusal unless an answer is of the life that is meant."""
+        if response.status != 200:
+            return response
+        holding = decode_holding(response.body)
+        if not isinstance(holding, Holding):
+            return HttpResponse(UNREADABLE_STATUS)
+        is_meant = holding.incarnation in (0, self.life.incarnation)
+        return None if is_meant else HttpResponse(OTHER_BOOT_STATUS)
 
 
 class Reply(msgspec.Struct):
--- a/bergamotcourse/protocol/upstream_orders.py
+++ b/bergamotcourse/protocol/upstream_orders.py
@@ -157,7 +157,12 @@
 
 
 class OrderPort(Protocol):
-    """Gives orders to one life of one upstream, under one fencing token."""
+    """Gives orders to one life of one upstream, under one fencing token.
+
+    An order reaches that life or none, also where the upstream has started again under
+    its id: the new life would count the lease on another clock, and its answers would
+    say nothing of what ran before.
+    """
 
     async def start(self, order: StartOrder, timeout: float) -> StartReply:
         """Order a run to start."""
--- a/bergamotcourse/standins/order_upstream.py
+++ b/bergamotcourse/standins/order_upstream.py
@@ -266,6 +266,7 @@
 
     Attributes:
         reach: Returns the life that is at the upstream's address now.
+        incarnation: The life that is meant; 0 if that is not known.
         nursery: Carries out late orders.
         connected: Whether orders reach the upstream and answers come back.
     """
@@ -275,15 +276,21 @@
     nursery: trio.Nursery
     delay: float = 0.0005
     connected: Callable[[], bool] = field(default=lambda: True)
+    incarnation: Incarnation = Incarnation(0)
 
     async def start(self, order: StartOrder, timeout: float) -> StartReply:
         """Order a run to start."""
         reply = await self._call(lambda life: life.start(order, self.token), timeout)
-        return StartReply(StartVerdict.UNKNOWN) if reply is None else reply
+        if reply is None:
+            return StartReply(StartVerdict.UNKNOWN)
+        if reply is HoldFailure.OTHER_BOOT:
+            return StartReply(StartVerdict.OTHER_BOOT)
+        return reply
 
     async def stop(self, key: RunKey, timeout: float) -> bool:
         """Order a run to stop, or bar it."""
-        return bool(await self._call(lambda life: life.stop(key, self.token), timeout))
+        answer = await self._call(lambda life: life.stop(key, self.token), timeout)
+        return answer is True
 
     async def hold(
         self, noted: int, until: float | None, wait: float, timeout: float
@@ -307,7 +314,11 @@
         """Do nothing: there are no connections."""
 
     async def _call(self, order: Callable, timeout: float):
-        """Carry out an order; ``None`` for no answer."""
+        """Carry out an order.
+
+        Returns:
+            Its answer, ``None`` for no answer, ``OTHER_BOOT`` from another life.
+        """
         await trio.sleep(self.delay)
         upstream = self.reach()
         if upstream.down or not self.connected():
@@ -317,10 +328,16 @@
             self.nursery.start_soon(self._later, order, upstream)
             await trio.sleep(timeout)
             return None
+        if self._is_other_life(upstream):
+            return HoldFailure.OTHER_BOOT
         answer = order(upstream)
         await trio.sleep(self.delay)
         return answer if self.connected() else None
 
+    def _is_other_life(self, upstream: OrderUpstream) -> bool:
+        both_tell = self.incarnation and upstream.incarnation
+        return bool(both_tell) and self.incarnation != upstream.incarnation
+
     async def _later(self, order: Callable, upstream: OrderUpstream) -> None:
         await trio.sleep(upstream.rng.uniform(*LATE_SECONDS))
         if not upstream.down:
--- a/bergamotcourse/tests/jobs/test_upstream_restart.py
+++ b/bergamotcourse/tests/jobs/test_upstream_restart.py
@@ -124,7 +124,14 @@
 class TestOrdersToTheLifeBefore:
     @pytest.mark.parametrize("away", [0.05, 0.1, 0.2, 0.3])
     def test_do_not_reach_the_life_after_it(self, away):
-        """A run was told as over, or as never begun, and had begun or ran on."""
+        """A run was told as over, or as never begun, and had begun or ran on.
+
+        Its upstream had started again under its id, and until that life reported itself
+        the agent's orders reached it. It lists nothing of before: at 0.36 s the agent
+        told a run of the former life as "stopped before it started". A run that it had
+        begun was given up with the former life at 1.08 s, "the upstream is gone", and
+        went on until 2.08 s, beside the next run of its task.
+        """
 
         async def main(fleet):
             upstream = fleet.upstreams["agent-1"]
@@ -155,7 +162,12 @@
 
     @pytest.mark.parametrize("quiet", [0.30, 0.34, 0.38])
     def test_do_not_keep_a_run_longer_than_is_counted(self, quiet):
-        """Two runs of a task overlapped after its agent was lost."""
+        """Two runs of a task overlapped after its agent was lost.
+
+        Its upstream had started again under its id, with a clock that begins at 0. The
+        first order asked for a lease until 0.65 s on by the clock of the life before,
+        15 s ahead: the upstream kept the run for 1.0 s, the longest that it grants.
+        """
 
         async def main(fleet):
             await trio.sleep(10 * REPORT_SECONDS)
--- a/bergamotcourse/tests/transport/test_http_client.py
+++ b/bergamotcourse/tests/transport/test_http_client.py
@@ -7,7 +7,11 @@
 
 from bergamotcourse.errors import Step
 from bergamotcourse.transport.http import HttpError, HttpRequest, HttpResponse, Sent
-from bergamotcourse.transport.http_client import HttpClient, parse_http_address
+from bergamotcourse.transport.http_client import (
+    Greeting,
+    HttpClient,
+    parse_http_address,
+)
 from bergamotcourse.transport.http_server import HttpServer
 from bergamotcourse.transport.http_wire import is_readable
 
@@ -370,3 +374,39 @@
                 assert is_readable(one)
 
         trio.run(main)
+
+
+class TestGreeting:
+    """What a server has to answer on each connection before it is used."""
+
+    def ask_twice(self, accepted, answer=b"hi"):
+        """Return the bodies of two answers and the targets of all requests."""
+        targets = []
+
+        async def handle(request):
+            targets.append(request.target)
+            return HttpResponse(200, [], answer)
+
+        def refusal(response):
+            return None if accepted else HttpResponse(421, [], response.body)
+
+        async def script():
+            server = HttpServer("127.0.0.1", 0, handle)
+            greeting = Greeting(HttpRequest("GET", "/who"), refusal)
+            client = HttpClient("127.0.0.1", 0, greeting=greeting)
+            async with trio.open_nursery() as nursery:
+                nursery.start_soon(server.run)
+                await server.wait_open()
+                client.port = server.port
+                results = [await client.request(GET, TIMEOUT) for _ in range(2)]
+                await client.aclose()
+                nursery.cancel_scope.cancel()
+            return [result.ok.status for result in results]
+
+        return run(script), targets
+
+    def test_is_exchanged_once_on_a_connection(self):
+        assert self.ask_twice(accepted=True) == ([200, 200], ["/who", "/a", "/a"])
+
+    def test_nothing_follows_a_refusal(self):
+        assert self.ask_twice(accepted=False) == ([421, 421], ["/who", "/who"])
--- a/bergamotcourse/transport/http_client.py
+++ b/bergamotcourse/transport/http_client.py
@@ -29,18 +29,37 @@
 """Opens a connection to a host and port."""
 
 
+@dataclass(frozen=True)
+class Greeting:
+    """What a server has to answer on each new connection before it is used.
+
+    A connection ends with the process that accepted it. So once that process has told
+    who it is, whatever is sent on the connection reaches that process or none.
+
+    Attributes:
+        request: Sent first on each new connection.
+        refusal: Given the answer, returns what stands for the answer to each request
+            that was to follow, or ``None`` if the server is the one that is meant.
+    """
+
+    request: HttpRequest
+    refusal: Callable[[HttpResponse], HttpResponse | None]
+
+
 class ClientConnection:
     """One connection of the pool.
 
     Attributes:
         stream: The connection's stream.
         http: The protocol's state.
+        greeted: Its server is known to be the one that is meant.
         idle_since: When it was last put back, on trio's clock.
     """
 
     def __init__(self, stream: trio.abc.Stream):
         self.stream = stream
         self.http = h11.Connection(h11.CLIENT)
+        self.greeted = False
         self.idle_since = 0.0
 
     def is_stale(self) -> bool:
@@ -73,6 +92,7 @@
         body_bytes: Largest body of a response; a larger one is an error.
         peer: The server as errors name it.
         closed: ``aclose`` was called.
+        greeting: Exchanged on each new connection; ``None`` without one.
         idle: Connections that wait for reuse, the one used last at the end.
     """
 
@@ -84,6 +104,7 @@
         idle_seconds: float = 30.0,
         body_bytes: int = 16 << 20,
         connect: Connect = trio.open_tcp_stream,
+        greeting: Greeting | None = None,
     ):
         self.host = host
         self.port = port
@@ -91,6 +112,7 @@
         self.body_bytes = body_bytes
         self.peer = f"[{host}]:{port}" if ":" in host else f"{host}:{port}"
         self.closed = False
+        self.greeting = greeting
         self._connect = connect
         self._slots = trio.Semaphore(connections)
         self.idle: deque[ClientConnection] = deque()
@@ -149,6 +171,10 @@
         connection = await self._take()
         reusable = False
         try:
+            if self.greeting is not None and not connection.greeted:
+                refusal = await self._greet(connection, self.greeting)
+                if refusal is not None:
+                    return refusal
             await self._send(exchange, connection)
             response = await self._receive(exchange, connection)
             reusable = self._is_reusable(connection)
@@ -159,6 +185,24 @@
             self._put(connection)
         return response
 
+    async def _greet(
+        self, connection: ClientConnection, greeting: Greeting
+    ) -> HttpResponse | None:
+        """Return the refusal of a server that is not the one that is meant.
+
+        Raises:
+            OSError: The server keeps no connection open.
+        """
+        request = greeting.request
+        exchange = Exchange(request, request_head(request, self.peer))
+        await self._send(exchange, connection)
+        response = await self._receive(exchange, connection)
+        refusal = greeting.refusal(response)
+        if refusal is None and not self._is_reusable(connection):
+            raise OSError("the server keeps no connection open")
+        connection.greeted = refusal is None
+        return refusal
+
     async def _take(self) -> ClientConnection:
         """Return the connection used last, or a new one.
 
--- a/bergamotcourse/virtual/job_fleet.py
+++ b/bergamotcourse/virtual/job_fleet.py
@@ -190,6 +190,7 @@
         port = StandInPort(
             lambda: self.fleet.lives[report.id], self.boot, self.fleet.nursery
         )
+        port.incarnation = report.incarnation
         port.connected = lambda: self.name not in self.fleet.cut_upstreams
         return FrozenPort(port, self.pause)
 
