Bring about two more faults of lives told apart by their ids

Found on reading; no caller has reported them. An upstream's last report is kept in the store only where the id is new, and the agent's change is told only where what it refuses has changed: an agent that starts anew then looks for a life that is over. And a departure names no life, so a late one of a former life ends the life after it, with runs that go on.

--- a/bergamotcourse/standins/order_upstream.py
+++ b/bergamotcourse/standins/order_upstream.py
@@ -16,6 +16,7 @@
     EndKind,
     HoldFailure,
     Holding,
+    LifeKey,
     RunKey,
     RunningRun,
     StartOrder,
@@ -266,7 +267,7 @@
 
     Attributes:
         reach: Returns the life that is at the upstream's address now.
-        incarnation: The life that is meant; 0 if that is not known.
+        life: The life that is meant; ``None`` for any.
         nursery: Carries out late orders.
         connected: Whether orders reach the upstream and answers come back.
     """
@@ -276,7 +277,7 @@
     nursery: trio.Nursery
     delay: float = 0.0005
     connected: Callable[[], bool] = field(default=lambda: True)
-    incarnation: Incarnation = Incarnation(0)
+    life: LifeKey | None = None
 
     async def start(self, order: StartOrder, timeout: float) -> StartReply:
         """Order a run to start."""
@@ -335,8 +336,11 @@
         return answer if self.connected() else None
 
     def _is_other_life(self, upstream: OrderUpstream) -> bool:
-        both_tell = self.incarnation and upstream.incarnation
-        return bool(both_tell) and self.incarnation != upstream.incarnation
+        if self.life is None:
+            return False
+        tells_none = 0 in (self.life.incarnation, upstream.incarnation)
+        other = not tells_none and self.life.incarnation != upstream.incarnation
+        return other or self.life.upstream != upstream.id
 
     async def _later(self, order: Callable, upstream: OrderUpstream) -> None:
         await trio.sleep(upstream.rng.uniform(*LATE_SECONDS))
--- a/bergamotcourse/tests/platform/test_reports.py
+++ b/bergamotcourse/tests/platform/test_reports.py
@@ -7,11 +7,14 @@
 from hypothesis import strategies as st
 
 from bergamotcourse.coordination.event_log import EventLog
+from bergamotcourse.coordination.jobs.upstream_life import UpstreamLife
 from bergamotcourse.platform.reports import ReportsFront
+from bergamotcourse.protocol.upstream_orders import LifeKey
 from bergamotcourse.tests.platform.test_documents import BEAT
 from bergamotcourse.transport.http import HttpRequest
 
 PATH = "/bergamotcourse/Instances.Heartbeat/"
+LEAVE_PATH = "/bergamotcourse/Instances.Deregister/"
 
 
 class Taken:
@@ -19,12 +22,19 @@
 
     def __init__(self):
         self.reports = []
+        self.left = []
+        self.life = None
 
     def refusal(self):
         return None
 
     def hear_upstream(self, report):
         self.reports.append(report)
+        if self.life is None or self.life.report.life != report.life:
+            self.life = UpstreamLife(report, None, 0.0, 0.0)
+
+    def upstream_left(self, life):
+        self.left.append(life)
 
 
 class Agent:
@@ -35,7 +45,11 @@
         self.taken = Taken()
         self.lines = []
         log = EventLog(lambda kind, fields: self.lines.append((kind, fields)))
-        self.front = ReportsFront(self.taken, lambda: None, lambda: self.service, log)
+        self.changes = 0
+        self.front = ReportsFront(self.taken, self.change, lambda: self.service, log)
+
+    def change(self):
+        self.changes += 1
 
     def report(self, body, upstream="i-1", method="POST", path=PATH):
         request = HttpRequest(method, path + upstream, [], body)
@@ -76,6 +90,25 @@
 }
 
 
+class TestLives:
+    def test_each_is_told(self):
+        """An agent that started anew found no upstream until the next report."""
+        agent = Agent()
+        for born in (1780, 1780, 1781):
+            agent.report(encoded(born=born))
+        assert agent.changes == 2
+
+    @pytest.mark.parametrize(
+        "body, incarnation",
+        [(b"", 0), (b"{}", 0), (b'{"born": 1780}', 1780), (b'{"born": "x"}', 0)],
+    )
+    def test_that_of_a_departure_is_told(self, body, incarnation):
+        """The late departure of a former life ended the life after it."""
+        agent = Agent()
+        assert agent.report(body, path=LEAVE_PATH) == 200
+        assert agent.taken.left == [LifeKey("i-1", incarnation)]
+
+
 class TestReports:
     def test_of_the_worker_here_is_taken(self):
         agent = Agent()
--- a/bergamotcourse/virtual/job_fleet.py
+++ b/bergamotcourse/virtual/job_fleet.py
@@ -190,7 +190,7 @@
         port = StandInPort(
             lambda: self.fleet.lives[report.id], self.boot, self.fleet.nursery
         )
-        port.incarnation = report.incarnation
+        port.life = report.life
         port.connected = lambda: self.name not in self.fleet.cut_upstreams
         return FrozenPort(port, self.pause)
 
@@ -312,6 +312,13 @@
             agent, former.id, former.clock_rate, former.incarnation + 1, began
         )
 
+    def replace_at_address(self, agent: str) -> OrderUpstream:
+        """Start another upstream where calls to the former one arrive."""
+        former = self.upstreams[agent]
+        upstream = self.start_upstream(agent)
+        self.lives[former.id] = upstream
+        return upstream
+
     def _start_life(
         self,
         agent: str,
