Keep the report of each life of an upstream, and tell of each

What could be seen: after an agent was started anew, no task on its upstream until the next report, up to 1.5 s, though the upstream was sound.

Cause: the store keeps the last report for the next process of the agent, but only where the id was new, and only where what the agent refuses had changed. An upstream that started again under its id, or another one at its place within one report, changed neither. So the next process looked for a life that was over, and the entries were told of the new labels and room only with a later message.

Why it holds: both are decided by the life, its id with its start.

--- a/bergamotcourse/coordination/jobs/store_watch.py
+++ b/bergamotcourse/coordination/jobs/store_watch.py
@@ -12,7 +12,7 @@
 from bergamotcourse.errors import StepError
 from bergamotcourse.ids import LinkAddress
 from bergamotcourse.protocol.job_store import ConfigRead, HistoryGoneError, JobStore
-from bergamotcourse.protocol.upstream_orders import UpstreamReport
+from bergamotcourse.protocol.upstream_orders import LifeKey, UpstreamReport
 
 T = TypeVar("T")
 
@@ -176,22 +176,25 @@
 
     An agent that starts anew would know its upstream only by the next report, more than
     a second later; an entry that starts anew finds all agents here at once.
+
+    Attributes:
+        kept: The life whose report was kept last.
     """
 
     def __init__(self, store: JobStore, rng: random.Random, log: EventLog):
         self.store = store
         self.rng = rng
         self.log = log
-        self.kept = ""
+        self.kept: LifeKey | None = None
 
     async def keep(self, agent: LinkAddress, report: UpstreamReport) -> None:
         """Keep the report of a new life of an upstream; tried once.
 
         Without it the next process learns the same a little later.
         """
-        if report.id == self.kept:
+        if report.life == self.kept:
             return
-        self.kept = report.id
+        self.kept = report.life
         result = await self.store.put_upstream(agent, report, CALL_SECONDS)
         if result.is_error():
             self.log.write("store.upstream_not_kept", error=str(result.error))
--- a/bergamotcourse/platform/reports.py
+++ b/bergamotcourse/platform/reports.py
@@ -7,7 +7,7 @@
 from bergamotcourse.coordination.jobs.executor import Executor
 from bergamotcourse.ids import ServiceName
 from bergamotcourse.platform.documents import decode_report
-from bergamotcourse.protocol.upstream_orders import UpstreamReport
+from bergamotcourse.protocol.upstream_orders import LifeKey, UpstreamReport
 from bergamotcourse.transport.http import HttpRequest, HttpResponse
 from bergamotcourse.transport.http_json import json_answer
 from bergamotcourse.transport.http_problem import plain_problem
@@ -58,12 +58,17 @@
         except ValueError as error:
             self.log.write("report.skipped", upstream=upstream, why=str(error))
             return plain_problem(400, f"malformed report: {error}")
-        before = self.executor.refusal()
+        before = self._known()
         self.executor.hear_upstream(report)
-        if self.executor.refusal() != before:
+        if self._known() != before:
             self.on_change()
         return json_answer({})
 
+    def _known(self) -> tuple[LifeKey | None, str | None]:
+        """Return what others are told: the life that is here, and what is refused."""
+        life = self.executor.life
+        return life.report.life if life else None, self.executor.refusal()
+
     def _check_service(self, report: UpstreamReport) -> None:
         """Refuse the report of a service that is not this machine's.
 
--- a/bergamotcourse/tests/jobs/test_upstream_rows.py
+++ b/bergamotcourse/tests/jobs/test_upstream_rows.py
@@ -41,6 +41,9 @@
         assert kept_of(REPORT, replace(REPORT, sequence=9)) == [REPORT]
 
     def test_each_life_of_an_id_is_kept(self):
-        """An agent that started anew found no upstream until the next report."""
+        """An agent that started anew found no upstream until the next report.
+
+        The store had the life before: a report was kept only where its id was new.
+        """
         again = replace(REPORT, incarnation=Incarnation(2))
         assert kept_of(REPORT, again) == [REPORT, again]
