Take a departure for the life that names it only

What could be seen: an upstream that had left and started again was given up when its departure came late, with runs that went on beside the next runs of their tasks until its lease had lapsed; its reports were ignored from then on.

Cause: a departure went by the id alone. It now ends the life that its start names; one that names none goes by the id, as before.

--- a/bergamotcourse/coordination/jobs/executor.py
+++ b/bergamotcourse/coordination/jobs/executor.py
@@ -29,6 +29,7 @@
     EndKind,
     HoldFailure,
     Holding,
+    LifeKey,
     OrderPort,
     RunKey,
     StartVerdict,
@@ -158,10 +159,19 @@
             replace(report, clock=answer.clock, sequence=0, incarnation=incarnation)
         )
 
-    def upstream_left(self, upstream: str) -> None:
+    def upstream_left(self, gone: LifeKey) -> None:
         """Take the planned end of an upstream."""
-        if self.life is not None and self.life.report.id == upstream:
-            self._end_life("it left")
+        if self.life is None or self.life.report.id != gone.upstream:
+            return
+        # Taken for the end of this life, it would give up runs that go on.
+        if gone.incarnation not in (0, self.life.report.incarnation):
+            self.log.write(
+                "upstream.departure_ignored",
+                upstream=gone.upstream,
+                incarnation=gone.incarnation,
+            )
+            return
+        self._end_life("it left")
 
     def place(self, entry: LinkAddress, order: PlaceTask) -> None:
         """Take a run that an entry places."""
--- a/bergamotcourse/platform/documents.py
+++ b/bergamotcourse/platform/documents.py
@@ -13,7 +13,7 @@
     ZoneName,
 )
 from bergamotcourse.platform.settings_file import is_address
-from bergamotcourse.protocol.upstream_orders import UpstreamReport
+from bergamotcourse.protocol.upstream_orders import LifeKey, UpstreamReport
 from bergamotcourse.state.job_spec import (
     JobId,
     JobQueue,
@@ -94,6 +94,16 @@
     gpu: Amount = 0
 
 
+class WireDeparture(msgspec.Struct):
+    """What a worker says when it ends as planned; it may say nothing.
+
+    Attributes:
+        born: Milliseconds since 1970 at the start of the worker's process.
+    """
+
+    born: Amount = 0
+
+
 class WireHeartbeat(msgspec.Struct):
     """A worker's report of itself.
 
@@ -117,6 +127,7 @@
 
 _config = msgspec.json.Decoder(WireConfig)
 _job = msgspec.json.Decoder(WireJob)
+_departure = msgspec.json.Decoder(WireDeparture)
 _heartbeat = msgspec.json.Decoder(WireHeartbeat)
 
 
@@ -229,3 +240,12 @@
         clock=beat.clock_ms / 1000,
         incarnation=Incarnation(beat.born),
     )
+
+
+def decode_departure(upstream: str, body: bytes) -> LifeKey:
+    """Return the life of a worker that ends; one that says nothing goes by its id."""
+    try:
+        departure = decode(_departure, body)
+    except ValueError:
+        departure = WireDeparture()
+    return LifeKey(UpstreamId(upstream), Incarnation(departure.born))
--- a/bergamotcourse/platform/reports.py
+++ b/bergamotcourse/platform/reports.py
@@ -6,7 +6,7 @@
 from bergamotcourse.coordination.event_log import EventLog
 from bergamotcourse.coordination.jobs.executor import Executor
 from bergamotcourse.ids import ServiceName
-from bergamotcourse.platform.documents import decode_report
+from bergamotcourse.platform.documents import decode_departure, decode_report
 from bergamotcourse.protocol.upstream_orders import LifeKey, UpstreamReport
 from bergamotcourse.transport.http import HttpRequest, HttpResponse
 from bergamotcourse.transport.http_json import json_answer
@@ -47,7 +47,8 @@
         if path.startswith(REPORT_PATH):
             return self._report(path.removeprefix(REPORT_PATH), request.body)
         if path.startswith(LEAVE_PATH):
-            self.executor.upstream_left(path.removeprefix(LEAVE_PATH))
+            life = decode_departure(path.removeprefix(LEAVE_PATH), request.body)
+            self.executor.upstream_left(life)
             return json_answer({})
         return plain_problem(404, "no such call")
 
--- a/bergamotcourse/tests/jobs/test_upstream_restart.py
+++ b/bergamotcourse/tests/jobs/test_upstream_restart.py
@@ -4,6 +4,8 @@
 import trio
 
 from bergamotcourse.coordination.jobs.job_run import JobOutcome
+from bergamotcourse.ids import Incarnation
+from bergamotcourse.protocol.upstream_orders import LifeKey
 from bergamotcourse.tests.jobs.fleets import run_fleet
 from bergamotcourse.virtual.job_fleet import REPORT_SECONDS, job
 
@@ -107,12 +109,25 @@
 
         run_fleet(main)
 
+    def test_the_late_departure_of_the_life_before_is_ignored(self):
+        async def main(fleet):
+            former = fleet.upstreams["agent-1"].report().life
+            await restart(fleet)
+            await trio.sleep(REPORT_SECONDS)
+            executor = fleet.agents["agent-1"].executor
+            executor.upstream_left(former)
+            assert executor.refusal() is None
+            executor.upstream_left(executor.life.report.life)
+            assert executor.refusal() == "no upstream"
+
+        run_fleet(main)
+
     def test_one_that_left_may_start_again_under_its_id(self):
         async def main(fleet):
             upstream = fleet.upstreams["agent-1"]
             upstream.crash()
             executor = fleet.agents["agent-1"].executor
-            executor.upstream_left(upstream.id)
+            executor.upstream_left(LifeKey(upstream.id, Incarnation(0)))
             assert executor.refusal() == "no upstream"
             fleet.restart_upstream("agent-1")
             await trio.sleep(REPORT_SECONDS)
--- a/bergamotcourse/tests/platform/test_reports.py
+++ b/bergamotcourse/tests/platform/test_reports.py
@@ -103,7 +103,11 @@
         [(b"", 0), (b"{}", 0), (b'{"born": 1780}', 1780), (b'{"born": "x"}', 0)],
     )
     def test_that_of_a_departure_is_told(self, body, incarnation):
-        """The late departure of a former life ended the life after it."""
+        """The late departure of a former life ended the life after it.
+
+        Departures named no life: the runs of the one that is here were given up and
+        placed again, and went on until its lease had lapsed.
+        """
         agent = Agent()
         assert agent.report(body, path=LEAVE_PATH) == 200
         assert agent.taken.left == [LifeKey("i-1", incarnation)]
