Bring about tasks that come back on and on from a replaced upstream

An idle agent whose upstream another one has replaced, under its id or not, returns each task at once until the next report, and its entry places it there again: 715 orders for a job of four tasks. The test fails on the code as it is, in both cases.

--- a/bergamotcourse/tests/jobs/test_upstream_restart.py
+++ b/bergamotcourse/tests/jobs/test_upstream_restart.py
@@ -198,3 +198,22 @@
             assert fleet.overlaps() == []
 
         run_fleet(main, agents=3)
+
+    @pytest.mark.parametrize("again", [True, False])
+    def test_are_not_given_on_and_on(self, again):
+        """Tasks came back again and again from an agent whose upstream was another."""
+
+        async def main(fleet):
+            await trio.sleep(3 * REPORT_SECONDS)
+            fleet.upstreams["agent-1"].crash()
+            if again:
+                fleet.restart_upstream("agent-1")
+            else:
+                fleet.replace_at_address("agent-1")
+            answer = await fleet.submit("entry-1", job("a", tasks=4, work=0.2))
+            starts = fleet.logged("run.start")
+            refused = [one for one in starts if one["verdict"] == "other boot"]
+            assert answer.outcome is JobOutcome.SUCCEEDED
+            assert len(refused) <= 4
+
+        run_fleet(main, agents=2)
