End the life of an upstream as soon as another one answers an order

What could be seen: a job's tasks bounced between an entry and an idle agent whose upstream had been replaced, 715 times in the test, until the agent heard the next report. Jobs that found no other room were refused or late.

Cause: only a renewal ended the life that another one had answered for, and an agent without work renews nothing. The answer to an order to start says the same, and ended nothing.

Why it holds: such an answer ends the life at once, so that the agent tells the entries that it takes nothing until its upstream has reported. At most the tasks that were on their way come back.

--- a/bergamotcourse/coordination/jobs/executor.py
+++ b/bergamotcourse/coordination/jobs/executor.py
@@ -301,6 +301,11 @@
                 self._requeue(run)
             case StartVerdict.STALE:
                 self.book.finish(run, Outcome.STALE, verdict.value)
+            case StartVerdict.OTHER_BOOT:
+                self.book.finish(run, Outcome.RETURNED, verdict.value)
+                # At once: until the next report the entries would place at it, and be
+                # refused, over and over.
+                self._end_life("another boot answers at its address")
             case StartVerdict.UNHEALTHY:
                 self.health.refused(self.timers.now())
                 self.book.finish(run, Outcome.RETURNED, verdict.value)
--- a/bergamotcourse/tests/jobs/test_upstream_restart.py
+++ b/bergamotcourse/tests/jobs/test_upstream_restart.py
@@ -201,7 +201,13 @@
 
     @pytest.mark.parametrize("again", [True, False])
     def test_are_not_given_on_and_on(self, again):
-        """Tasks came back again and again from an agent whose upstream was another."""
+        """Tasks came back again and again from an agent whose upstream was another.
+
+        An agent without work renews nothing, and only a renewal that another life
+        answered told it that its upstream was over. It went on to offer all its room
+        until the next report: 715 "run.start" with the verdict "other boot" for a job
+        of four tasks.
+        """
 
         async def main(fleet):
             await trio.sleep(3 * REPORT_SECONDS)
