Let upstreams start again under their ids in the tests with random faults

The tests with random faults replaced each lost upstream by one of another id, and checked only that no two runs overlap, so they could not show what callers saw. Now each seed is played with both, and two promises more are checked: a job that is refused has not run, and a run that an entry takes for never started has not.

--- a/bergamotcourse/tests/jobs/chaos.py
+++ b/bergamotcourse/tests/jobs/chaos.py
@@ -11,10 +11,24 @@
 """The soonest that a caller sends a job again after its connection broke."""
 
 
+def job_of(task):
+    """Return the job of a task: its name begins with it."""
+    return task.partition(".")[0]
+
+
 class Chaos:
-    """Faults at random, one after the other and at the same time."""
+    """Faults at random, one after the other and at the same time.
+
+    Attributes:
+        keeps_ids: Upstreams that crash start again under the id that they had.
+        handed_in_once: Jobs that were answered at the first attempt.
+        refused: Of these the jobs that were told as not run.
+    """
 
-    def __init__(self, fleet, seed):
+    def __init__(self, fleet, seed, keeps_ids=False):
+        self.keeps_ids = keeps_ids
+        self.handed_in_once = set()
+        self.refused = set()
         self.fleet = fleet
         self.rng = random.Random(seed)
         self.jobs = 0
@@ -32,13 +46,33 @@
     async def caller(self):
         self.jobs += 1
         spec = job(f"j{self.jobs}", self.rng.randint(1, 8), self.rng.uniform(0.1, 1.5))
-        for _ in range(3):
+        for attempt in range(3):
+            is_first = attempt == 0
             entry = self.rng.choice(list(self.fleet.entries))
             answer = await self.fleet.submit(entry, spec, seconds=4.0)
             if answer.outcome not in (None, JobOutcome.TIMED_OUT):
                 break
             await trio.sleep(RESEND_SECONDS)
         self.outcomes.append(answer.outcome)
+        if is_first:
+            self.handed_in_once.add(spec.id)
+            if answer.outcome is JobOutcome.REFUSED:
+                self.refused.add(spec.id)
+
+    def refused_and_ran(self):
+        """Return the jobs that were told as not run, and ran."""
+        return self.refused & {job_of(run.key.task) for run in self.fleet.history}
+
+    def returned_and_ran(self):
+        """Return the runs that an entry took for never started, and that ran."""
+        ran = {(run.key.task, run.key.number) for run in self.fleet.history}
+        returned = {
+            (again["task"], again["run"])
+            for again in self.fleet.logged("task.again")
+            if again["outcome"] in ("returned", "stale")
+            and job_of(again["task"]) in self.handed_in_once
+        }
+        return ran & returned
 
     async def fault(self):
         fleet, rng = self.fleet, self.rng
@@ -79,7 +113,10 @@
                 case 5:
                     fleet.upstreams[agent].crash()
                     await trio.sleep(seconds)
-                    fleet.start_upstream(agent)
+                    if self.keeps_ids:
+                        fleet.restart_upstream(agent)
+                    else:
+                        fleet.start_upstream(agent)
                 case 6:
                     fleet.cut_upstreams.add(agent)
                     await trio.sleep(seconds)
--- a/bergamotcourse/tests/jobs/test_single_run.py
+++ b/bergamotcourse/tests/jobs/test_single_run.py
@@ -297,14 +297,17 @@
 
 
 class TestChaos:
+    @pytest.mark.parametrize("keeps_ids", [False, True])
     @pytest.mark.parametrize("seed", range(12))
-    def test_no_run_overlaps_and_all_is_served_afterwards(self, seed):
+    def test_no_run_overlaps_and_all_is_served_afterwards(self, seed, keeps_ids):
         async def main(fleet):
-            chaos = Chaos(fleet, seed)
+            chaos = Chaos(fleet, seed, keeps_ids)
             for upstream in fleet.upstreams.values():
                 upstream.behaviour.unanswered = 0.03 if seed % 2 else 0.0
             await chaos.run()
             assert fleet.overlaps() == []
+            assert chaos.refused_and_ran() == set()
+            assert chaos.returned_and_ran() == set()
             for upstream in fleet.upstreams.values():
                 upstream.behaviour.unanswered = 0.0
             await trio.sleep(8.0)
