Let the soak's workers start again under their ids, and check where work starts

The stand-in worker tells its start, ends its connections with each life, and can come again under its id with all counts anew (--keeps-ids; the seeds of before draw the same faults). The soak checks one promise more: nothing starts on a worker more than 2 s after its agent took the word that it leaves.

--- a/bergamotcourse/standins/order_upstream.py
+++ b/bergamotcourse/standins/order_upstream.py
@@ -41,6 +41,7 @@
     Attributes:
         work: Seconds of work left.
         stop_at: When an ordered stop takes effect.
+        leaving_for: Seconds at its start since its agent knew that the upstream leaves.
     """
 
     key: RunKey
@@ -52,6 +53,7 @@
     stop_at: float | None = None
     ended_at: float | None = None
     kind: EndKind | None = None
+    leaving_for: float = 0.0
 
 
 @dataclass
--- a/bergamotcourse/tests/platform/cluster.py
+++ b/bergamotcourse/tests/platform/cluster.py
@@ -197,11 +197,21 @@
         self.nursery.start_soon(worker.upstream.run)
         self.nursery.start_soon(worker.report, *control, REPORT_SECONDS)
 
-    def make_upstream(self, clock_rate: float = 1.0) -> OrderUpstream:
-        """Return a new life of a worker."""
+    def make_upstream(
+        self, clock_rate: float = 1.0, former: OrderUpstream | None = None
+    ) -> OrderUpstream:
+        """Return a new life of a worker, under the id of a former one if given."""
         self.lives += 1
-        name = f"i-{self.lives}"
-        return OrderUpstream(name, "votes", CAPACITY, work_of, self.history, clock_rate)
+        return OrderUpstream(
+            former.id if former else f"i-{self.lives}",
+            "votes",
+            CAPACITY,
+            work_of,
+            self.history,
+            clock_rate,
+            incarnation=self.lives,
+            clock_began=trio.current_time() if former else 0.0,
+        )
 
     async def path_to(self, _name, address) -> tuple[str, int]:
         """Return where others reach an address."""
--- a/bergamotcourse/tests/platform/soak/__main__.py
+++ b/bergamotcourse/tests/platform/soak/__main__.py
@@ -16,19 +16,30 @@
 @click.option("--first", type=int, help="The first seed; drawn if not given.")
 @click.option("--seconds", default=10.0, help="How long each throws faults.")
 @click.option("--jobs", default=3, help="How many run at a time.")
+@click.option("--keeps-ids", is_flag=True, help="Workers start again under their id.")
 @click.option("--keep", type=click.Path(path_type=Path), help="Where logs are kept.")
-def main(seeds: int, first: int | None, seconds: float, jobs: int, keep: Path | None):
+def main(
+    seeds: int,
+    first: int | None,
+    seconds: float,
+    jobs: int,
+    keeps_ids: bool,
+    keep: Path | None,
+):
     """Throw random faults at the real programs, and check their promises."""
     first = random.SystemRandom().randrange(1, 10**6) if first is None else first
     with tempfile.TemporaryDirectory() as folder:
         numbers = range(first, first + seeds)
-        results = trio.run(run_all, numbers, seconds, jobs, keep or Path(folder))
+        place = keep or Path(folder)
+        results = trio.run(run_all, numbers, seconds, jobs, keeps_ids, place)
     faulty = [result.seed for result in results if result.violations]
     click.echo(f"{len(results)} soaks, with violations: {faulty or 'none'}")
     sys.exit(bool(faulty))
 
 
-async def run_all(numbers, seconds: float, jobs: int, folder: Path) -> list[Result]:
+async def run_all(
+    numbers, seconds: float, jobs: int, keeps_ids: bool, folder: Path
+) -> list[Result]:
     """Run the soaks of some seeds, some at a time."""
     results: list[Result] = []
     limit = trio.CapacityLimiter(jobs)
@@ -37,7 +48,7 @@
         async with limit:
             place = folder / str(seed)
             place.mkdir(parents=True)
-            result = await run_soak(seed, seconds, place)
+            result = await run_soak(seed, seconds, place, keeps_ids)
         results.append(result)
         click.echo(f"seed {seed}: {result.summary}")
         for line in result.violations:
--- a/bergamotcourse/tests/platform/soak/faults.py
+++ b/bergamotcourse/tests/platform/soak/faults.py
@@ -31,9 +31,17 @@
 
     Attributes:
         busy: The processes that a series of faults holds.
+        keeps_ids: Workers start again under the id that they had.
     """
 
-    def __init__(self, cluster: ProxiedCluster, records: Records, rng: random.Random):
+    def __init__(
+        self,
+        cluster: ProxiedCluster,
+        records: Records,
+        rng: random.Random,
+        keeps_ids: bool = False,
+    ):
+        self.keeps_ids = keeps_ids
         self.cluster = cluster
         self.records = records
         self.rng = rng
@@ -204,9 +212,12 @@
         worker.upstream.draining = True
         if rng.random() < 0.5:
             await trio.sleep(rng.uniform(*SECONDS))
-        worker.upstream.crash()
+        former = worker.upstream
+        former.crash()
         await trio.sleep(rng.uniform(*SECONDS))
-        worker.upstream = self.cluster.make_upstream(rng.uniform(*DRIFT))
+        rate = rng.uniform(*DRIFT)
+        again = former if self.keeps_ids else None
+        worker.begin_life(self.cluster.make_upstream(rate, again))
         self.cluster.nursery.start_soon(worker.upstream.run)
 
     # The configuration.
--- a/bergamotcourse/tests/platform/soak/run.py
+++ b/bergamotcourse/tests/platform/soak/run.py
@@ -34,19 +34,23 @@
     summary: dict[str, dict[str, int]]
 
 
-async def run_soak(seed: int, seconds: float, folder: Path) -> Result:
-    """Run the soak of a seed."""
+async def run_soak(
+    seed: int, seconds: float, folder: Path, keeps_ids: bool = False
+) -> Result:
+    """Run the soak of a seed; workers may start again under the id that they had."""
     async with trio.open_nursery() as nursery:
         cluster = ProxiedCluster(folder, nursery)
         try:
-            result = await soak(cluster, seed, seconds)
+            result = await soak(cluster, seed, seconds, keeps_ids)
         finally:
             cluster.end()
             nursery.cancel_scope.cancel()
     return result
 
 
-async def soak(cluster: ProxiedCluster, seed: int, seconds: float) -> Result:
+async def soak(
+    cluster: ProxiedCluster, seed: int, seconds: float, keeps_ids: bool
+) -> Result:
     """Run the soak of a seed on a cluster."""
     rng = random.Random(seed)
     records = Records()
@@ -58,7 +62,7 @@
         nursery.start_soon(watch_standstills, records, names)
         async with trio.open_nursery() as calling:
             calling.start_soon(callers.run, CALLERS)
-            await Faults(cluster, records, rng).run(seconds)
+            await Faults(cluster, records, rng, keeps_ids).run(seconds)
             late = await recover(cluster, records)
             callers.stopping = True
         nursery.cancel_scope.cancel()
--- a/bergamotcourse/tests/platform/soak/test_soak.py
+++ b/bergamotcourse/tests/platform/soak/test_soak.py
@@ -19,3 +19,8 @@
     def test_keeps_the_promises(self, seed, tmp_path):
         result = trio.run(run_soak, seed, 5.0, tmp_path)
         assert result.violations == []
+
+    @pytest.mark.parametrize("seed", [2, 3])
+    def test_keeps_them_of_workers_that_keep_their_ids(self, seed, tmp_path):
+        result = trio.run(run_soak, seed, 5.0, tmp_path, True)
+        assert result.violations == []
--- a/bergamotcourse/tests/platform/soak/test_verdict.py
+++ b/bergamotcourse/tests/platform/soak/test_verdict.py
@@ -42,6 +42,12 @@
         [line] = find_violations(make_records(Seen.SUCCEEDED), history)
         assert line.startswith("overlap")
 
+    def test_one_on_a_worker_that_has_been_leaving_for_long(self):
+        run = make_run(1, 0.0, 1.0)
+        run.leaving_for = 2.1
+        [line] = find_violations(make_records(Seen.SUCCEEDED), [run])
+        assert line.startswith("started 2.100 s after")
+
     def test_one_that_nobody_asked_for(self):
         lines = find_violations(Records(), [make_run(1, 0.0, 1.0)])
         assert lines == [f"nobody asked for {JOB}"]
--- a/bergamotcourse/tests/platform/soak/verdict.py
+++ b/bergamotcourse/tests/platform/soak/verdict.py
@@ -6,6 +6,9 @@
 from bergamotcourse.standins.order_upstream import Run, overlaps
 from bergamotcourse.tests.platform.soak.records import Attempt, Harm, Records, Seen
 
+LEAVING_SECONDS = 2.0
+"""From the word that a worker leaves until nothing starts there any more."""
+
 
 def find_violations(records: Records, history: list[Run]) -> list[str]:
     """Return one line for each promise that was not kept."""
@@ -14,6 +17,7 @@
         *find_false_refusals(records.attempts, history),
         *find_false_successes(records, history),
         *find_unasked(records, history),
+        *find_late_starts(history),
         *find_cuts(records, history),
         *find_odd(records.attempts),
     ]
@@ -62,6 +66,16 @@
     return [f"nobody asked for {job}" for job in sorted(ran - set(records.tasks))]
 
 
+def find_late_starts(history: list[Run]) -> list[str]:
+    """A start on a worker that leaves, long after its agent knew."""
+    return [
+        f"started {run.leaving_for:.3f} s after {run.upstream} was known to leave: "
+        f"{run.key.task}"
+        for run in history
+        if run.leaving_for > LEAVING_SECONDS
+    ]
+
+
 def find_cuts(records: Records, history: list[Run]) -> list[str]:
     """An attempt without an answer, though no fault was near and its job had begun.
 
--- a/bergamotcourse/tests/platform/standins.py
+++ b/bergamotcourse/tests/platform/standins.py
@@ -68,14 +68,27 @@
 
 
 class HttpWorker:
-    """A worker: takes orders over HTTP, and reports itself to the agent beside it."""
+    """A worker: takes orders over HTTP, and reports itself to the agent beside it.
+
+    Attributes:
+        lives: The life that accepted each connection; it ends with that life.
+        leaving_known_at: When the agent took the word that this life leaves.
+    """
 
     def __init__(self, upstream: OrderUpstream):
         self.upstream = upstream
         self.address = ""
+        self.lives = {}
+        self.leaving_known_at = None
+
+    def begin_life(self, upstream: OrderUpstream):
+        """Put another life in the place of the one that is over."""
+        self.upstream = upstream
+        self.leaving_known_at = None
 
     async def handle(self, request):
-        if self.upstream.down:
+        life = self.lives.setdefault(request.connection, self.upstream)
+        if life.down or life is not self.upstream:
             await trio.sleep_forever()
         body = msgspec.json.decode(request.body)
         if request.header("bergamotcourse-expected-instance") != self.upstream.id:
@@ -96,11 +109,18 @@
         order = StartOrder(key, body["spec"], body["until_ms"] / 1000)
         verdict = self.upstream.start(order, body["fencing_token"]).verdict
         if verdict is StartVerdict.STARTED:
+            self.note_leaving(key)
             return self.answer(200)
         if verdict is StartVerdict.UNHEALTHY:
             return self.answer(503)
         return self.answer(409, reason=REASONS[verdict])
 
+    def note_leaving(self, key):
+        """Note for how long the agent has known that this worker leaves."""
+        run = self.upstream.running[key]
+        if self.leaving_known_at is not None and not run.leaving_for:
+            run.leaving_for = run.started_at - self.leaving_known_at
+
     async def hold(self, body):
         until = body.get("until_ms")
         noted = body.get("observed", 0)
@@ -121,7 +141,9 @@
             [end.number, end.key.task, end.key.number, end.kind.value, ""]
             for end in holding.ended
         ]
-        return self.answer(200, running=running, ended=ended)
+        born = self.upstream.incarnation
+        told = {"born": born} if born else {}
+        return self.answer(200, running=running, ended=ended, **told)
 
     def answer(self, status, **fields):
         return json_answer({"clock_ms": self.clock_ms(), **fields}, status)
@@ -139,12 +161,12 @@
                 await client.aclose()
 
     async def report_with(self, client, seconds):
-        sequence = 0
         while True:
             if self.upstream.down:
                 await trio.sleep(seconds)
                 continue
-            sequence += 1
+            upstream = self.upstream
+            upstream.reports += 1
             body = {
                 "service": self.upstream.service,
                 "address": self.address,
@@ -156,9 +178,14 @@
                 "capacity": {"cpu": self.upstream.capacity.cpu, "mem_mb": 65536},
                 "labels": ["a", "r1"],
                 "clock_ms": self.clock_ms(),
-                "sequence": sequence,
+                "sequence": upstream.reports,
             }
+            if upstream.incarnation:
+                body["born"] = upstream.incarnation
             target = f"/bergamotcourse/Instances.Heartbeat/{self.upstream.id}"
             request = HttpRequest("POST", target, [], msgspec.json.encode(body))
-            await client.request(request, 1.0)
+            answer = await client.request(request, 1.0)
+            taken = answer.is_ok() and answer.ok.status == 200
+            if taken and body["state"] == "draining" and upstream is self.upstream:
+                self.leaving_known_at = self.leaving_known_at or trio.current_time()
             await trio.sleep(seconds)
