Judge reports and departures of upstreams apart from what follows

The executor told lives apart between its orders and its log lines. The decision has a module of its own now, with its cases as a table. A report of a former life is told by the same line as one that was overtaken; the fields that tell them apart are the same.

--- a/bergamotcourse/coordination/jobs/executor.py
+++ b/bergamotcourse/coordination/jobs/executor.py
@@ -11,6 +11,11 @@
 
 from bergamotcourse.coordination.event_log import EventLog
 from bergamotcourse.coordination.jobs.former_ends import FormerEnds
+from bergamotcourse.coordination.jobs.known_lives import (
+    KnownLives,
+    ReportKind,
+    ends_life,
+)
 from bergamotcourse.coordination.jobs.lease_terms import (
     HOLD_TIMEOUT_SECONDS,
     LAPSE_SECONDS,
@@ -22,7 +27,7 @@
 from bergamotcourse.coordination.jobs.upstream_health import UpstreamHealth
 from bergamotcourse.coordination.jobs.upstream_life import UpstreamLife
 from bergamotcourse.coordination.timers import Timers
-from bergamotcourse.ids import Incarnation, LinkAddress, UpstreamId
+from bergamotcourse.ids import LinkAddress
 from bergamotcourse.protocol.task_messages import Outcome, PlaceTask
 from bergamotcourse.protocol.upstream_orders import (
     EndedRun,
@@ -50,6 +55,10 @@
 LOOK_SECONDS = 0.5
 """Pause between two looks at an upstream that does not answer."""
 
+STARTED_AGAIN = "it has started again"
+REPLACED = "another upstream at its place"
+"""Why a life is over that has not said so."""
+
 OUTCOMES = {
     EndKind.DONE: Outcome.DONE,
     EndKind.FAILED: Outcome.FAILED,
@@ -66,7 +75,7 @@
         book: The runs.
         may_start: Asked right before an order to start whether the entry that placed
             the run is still in contact.
-        known: The last incarnation of each upstream that was here.
+        lives: The lives of upstreams that were here.
         former_ends: Ends of runs that this process has not started.
         born: When this process began; runs of an earlier one are over
             ``LAPSE_SECONDS`` after it.
@@ -89,7 +98,7 @@
         self.may_start: Callable[[LinkAddress], bool] = lambda _entry: True
         self.born = timers.lease_now()
         self.life: UpstreamLife | None = None
-        self.known: dict[UpstreamId, Incarnation] = {}
+        self.lives = KnownLives()
         self.former_ends = FormerEnds()
         self.holds = 0
         self.paused_until = 0.0
@@ -105,45 +114,31 @@
 
     def hear_upstream(self, report: UpstreamReport) -> bool:
         """Take an upstream's report of itself; false if it is of a former life."""
-        life = self.life
-        # Not by the id alone: one that starts again under its id counts its reports
-        # and its ends anew, and they would be passed over as old ones.
-        if life is not None and life.report.life == report.life:
-            if report.sequence >= life.report.sequence:
-                self._update(life, report)
-            else:
-                self._pass_over(report, life.report)
-            return True
-        if self._is_of_former_life(report):
-            self.log.write(
-                "upstream.report_ignored",
-                upstream=report.id,
-                incarnation=report.incarnation,
-            )
-            return False
-        if life is not None:
-            again = life.report.id == report.id
-            self._end_life(
-                "it has started again" if again else "another upstream at its place"
-            )
-        self._begin_life(report)
-        return True
-
-    def _is_of_former_life(self, report: UpstreamReport) -> bool:
-        """Return whether a report was delayed until that life was over."""
-        known = self.known.get(report.id)
-        return known is not None and report.incarnation <= known
-
-    def _pass_over(self, report: UpstreamReport, last: UpstreamReport) -> None:
-        """Tell of a report that is older than the last."""
+        kind = self.lives.judge(self.life and self.life.report, report)
+        match kind:
+            case ReportKind.NEWS:
+                self._update(self.life, report)
+            case ReportKind.OVERTAKEN | ReportKind.FORMER:
+                self._pass_over(report, kind)
+            case ReportKind.NEXT_LIFE:
+                if self.life is not None:
+                    again = self.life.report.id == report.id
+                    self._end_life(STARTED_AGAIN if again else REPLACED)
+                self._begin_life(report)
+        return kind is not ReportKind.FORMER
+
+    def _pass_over(self, report: UpstreamReport, kind: ReportKind) -> None:
+        """Tell of a report that says nothing new."""
+        last = self.life.report if self.life else None
         self.log.write(
             "upstream.report_old",
             upstream=report.id,
+            why=kind.value,
             draining=report.draining,
             sequence=report.sequence,
-            last_sequence=last.sequence,
+            last_sequence=last and last.sequence,
             incarnation=report.incarnation,
-            last_incarnation=last.incarnation,
+            last_incarnation=last and last.incarnation,
         )
 
     async def recall(self, report: UpstreamReport) -> None:
@@ -161,17 +156,17 @@
 
     def upstream_left(self, gone: LifeKey) -> None:
         """Take the planned end of an upstream."""
-        if self.life is None or self.life.report.id != gone.upstream:
+        if self.life is None:
             return
-        # Taken for the end of this life, it would give up runs that go on.
-        if gone.incarnation not in (0, self.life.report.incarnation):
-            self.log.write(
-                "upstream.departure_ignored",
-                upstream=gone.upstream,
-                incarnation=gone.incarnation,
-            )
+        if ends_life(self.life.report.life, gone):
+            self._end_life("it left")
             return
-        self._end_life("it left")
+        self.log.write(
+            "upstream.departure_ignored",
+            upstream=gone.upstream,
+            incarnation=gone.incarnation,
+            here=self.life.report.id,
+        )
 
     def place(self, entry: LinkAddress, order: PlaceTask) -> None:
         """Take a run that an entry places."""
@@ -556,7 +551,7 @@
     def _begin_life(self, report: UpstreamReport) -> None:
         now = self.timers.lease_now()
         lead = report.clock - now
-        self.known[report.id] = report.incarnation
+        self.lives.begin(report.life)
         self.life = UpstreamLife(
             report, self.connect(report), lead, self.born + LAPSE_SECONDS
         )
