--- a/bergamotcourse/tests/jobs/test_upstream_rows.py
+++ b/bergamotcourse/tests/jobs/test_upstream_rows.py
@@ -47,3 +47,8 @@
         """
         again = replace(REPORT, incarnation=Incarnation(2))
         assert kept_of(REPORT, again) == [REPORT, again]
+
+    def test_the_word_that_it_leaves_is_kept(self):
+        """An agent that started anew gave work to an upstream that was leaving."""
+        leaving = replace(REPORT, draining=True)
+        assert kept_of(REPORT, leaving, leaving) == [REPORT, leaving]
