Keep the word of an upstream that it leaves for the agent's next process

What could be seen: tasks started on an upstream that was leaving, for up to 1.5 s after its agent had been killed and had come back.

Cause: the store keeps the report with which a life began, and the next process takes its upstream up by it: as one that takes work. Its leaving was known to the former process only.

Why it holds: the report is kept once more when the upstream says that it leaves, one write for each leaving.

--- a/bergamotcourse/coordination/jobs/store_watch.py
+++ b/bergamotcourse/coordination/jobs/store_watch.py
@@ -12,7 +12,7 @@
 from bergamotcourse.errors import StepError
 from bergamotcourse.ids import LinkAddress
 from bergamotcourse.protocol.job_store import ConfigRead, HistoryGoneError, JobStore
-from bergamotcourse.protocol.upstream_orders import LifeKey, UpstreamReport
+from bergamotcourse.protocol.upstream_orders import UpstreamReport
 
 T = TypeVar("T")
 
@@ -171,6 +171,11 @@
                 await backoff.failed(result.error)
 
 
+def _says_the_same(one: UpstreamReport, other: UpstreamReport) -> bool:
+    """Return whether the next process of an agent needs only one of two reports."""
+    return (one.life, one.draining) == (other.life, other.draining)
+
+
 class UpstreamRows:
     """The last report of each upstream, kept for the next processes.
 
@@ -178,23 +183,24 @@
     a second later; an entry that starts anew finds all agents here at once.
 
     Attributes:
-        kept: The life whose report was kept last.
+        kept: The report that was kept last.
     """
 
     def __init__(self, store: JobStore, rng: random.Random, log: EventLog):
         self.store = store
         self.rng = rng
         self.log = log
-        self.kept: LifeKey | None = None
+        self.kept: UpstreamReport | None = None
 
     async def keep(self, agent: LinkAddress, report: UpstreamReport) -> None:
-        """Keep the report of a new life of an upstream; tried once.
+        """Keep the report of a new life of an upstream, or of one that leaves now.
 
-        Without it the next process learns the same a little later.
+        Tried once: without it the next process learns the same a little later. Without
+        the leaving it would give work to that upstream until then.
         """
-        if report.life == self.kept:
+        if self.kept is not None and _says_the_same(self.kept, report):
             return
-        self.kept = report.life
+        self.kept = report
         result = await self.store.put_upstream(agent, report, CALL_SECONDS)
         if result.is_error():
             self.log.write("store.upstream_not_kept", error=str(result.error))
--- a/bergamotcourse/daemons/job_agent.py
+++ b/bergamotcourse/daemons/job_agent.py
@@ -63,7 +63,7 @@
         """Take up the upstream that the process before this one has known."""
         report = await self.upstreams.read_own(self.node.address)
         if report is not None and self.executor.life is None:
-            self.upstreams.kept = report.life
+            self.upstreams.kept = report
             await self.executor.recall(report)
             self.contacts.tell_all()
 
--- a/bergamotcourse/tests/jobs/test_upstream_rows.py
+++ b/bergamotcourse/tests/jobs/test_upstream_rows.py
@@ -49,6 +49,10 @@
         assert kept_of(REPORT, again) == [REPORT, again]
 
     def test_the_word_that_it_leaves_is_kept(self):
-        """An agent that started anew gave work to an upstream that was leaving."""
+        """An agent that started anew gave work to an upstream that was leaving.
+
+        It took the upstream up by the report kept at the beginning of its life, which
+        says that it takes work, and knew better only with its next report.
+        """
         leaving = replace(REPORT, draining=True)
         assert kept_of(REPORT, leaving, leaving) == [REPORT, leaving]
