Read an upstream's lists in a module of its own

The stand-in's port asks for the life that is meant before it lets an order be carried out late, as a real port does.

--- a/bergamotcourse/coordination/jobs/executor.py
+++ b/bergamotcourse/coordination/jobs/executor.py
@@ -10,7 +10,7 @@
 import trio
 
 from bergamotcourse.coordination.event_log import EventLog
-from bergamotcourse.coordination.jobs.former_ends import FormerEnds
+from bergamotcourse.coordination.jobs.holding_reader import HoldingReader
 from bergamotcourse.coordination.jobs.known_lives import (
     KnownLives,
     ReportKind,
@@ -30,8 +30,6 @@
 from bergamotcourse.ids import LinkAddress
 from bergamotcourse.protocol.task_messages import Outcome, PlaceTask
 from bergamotcourse.protocol.upstream_orders import (
-    EndedRun,
-    EndKind,
     HoldFailure,
     Holding,
     LifeKey,
@@ -59,13 +57,6 @@
 REPLACED = "another upstream at its place"
 """Why a life is over that has not said so."""
 
-OUTCOMES = {
-    EndKind.DONE: Outcome.DONE,
-    EndKind.FAILED: Outcome.FAILED,
-    EndKind.STOPPED: Outcome.STOPPED,
-    EndKind.LAPSED: Outcome.LOST,
-}
-
 
 class Executor:
     """Runs tasks on one upstream.
@@ -76,7 +67,7 @@
         may_start: Asked right before an order to start whether the entry that placed
             the run is still in contact.
         lives: The lives of upstreams that were here.
-        former_ends: Ends of runs that this process has not started.
+        reader: Takes what the upstream lists.
         born: When this process began; runs of an earlier one are over
             ``LAPSE_SECONDS`` after it.
         stopping: Nothing new is taken.
@@ -99,7 +90,7 @@
         self.born = timers.lease_now()
         self.life: UpstreamLife | None = None
         self.lives = KnownLives()
-        self.former_ends = FormerEnds()
+        self.reader = HoldingReader(self.book, timers, log)
         self.holds = 0
         self.paused_until = 0.0
         self.stopping = False
@@ -196,12 +187,9 @@
         run = PlacedRun(key, entry, None, self.timers.now(), RunState.STOPPING)
         run.asked_start = True
         self.book.add(run)
-        kind = self.former_ends.take(key)
-        if kind is not None:
-            self.book.finish(run, OUTCOMES[kind], kind.value)
-            return
-        # An order of the former process may still be on its way.
-        self._spawn_stop(run)
+        if not self.reader.finish_former(run):
+            # An order of the former process may still be on its way.
+            self._spawn_stop(run)
 
     def withdraw_all(self, entry: LinkAddress, why: str) -> None:
         """End all runs of an entry."""
@@ -469,44 +457,10 @@
                 self.book.finish(run, Outcome.LOST, "its lease lapsed")
 
     def _take_holding(self, life: UpstreamLife, holding: Holding, number: int) -> None:
-        for ended in holding.ended:
-            if ended.number > life.noted:
-                life.noted = ended.number
-                self._take_end(ended)
-        listed = {running.key: running for running in holding.running}
-        life.listed = len(listed)
-        now = self.timers.now()
-        for run in self.book.all():
-            running = listed.get(run.key)
-            if running is not None:
-                self._note_progress(run, running.progress, now)
-            elif 0 <= run.confirmed < number:
-                self._lose_unlisted(run, life, holding)
-            elif 0 <= run.barred < number:
-                self.book.finish(run, Outcome.RETURNED, "stopped before it started")
-        self._move_runs(now)
+        self.reader.read(life, self.health, holding, number)
+        self._move_runs(self.timers.now())
         self.pump()
 
-    def _lose_unlisted(
-        self, run: PlacedRun, life: UpstreamLife, holding: Holding
-    ) -> None:
-        """Give up a run that has started and that the upstream does not know.
-
-        It is over, and may have run to its end. Told as never started, it would let
-        its entry refuse the job as one that has not run.
-        """
-        self.log.write(
-            "run.unlisted",
-            request=run.order.request,
-            task=run.key.task,
-            run=run.key.number,
-            upstream=life.report.id,
-            noted=life.noted,
-            incarnation=holding.incarnation,
-            last_incarnation=life.report.incarnation,
-        )
-        self.book.finish(run, Outcome.LOST, "the upstream does not know it")
-
     def _move_runs(self, now: float) -> None:
         """Stop the runs that would be done sooner elsewhere."""
         was_on_trial = self.health.on_trial()
@@ -529,23 +483,6 @@
         """Return how many times longer than declared the running tasks take."""
         return round(self.health.pace, 2)
 
-    def _note_progress(self, run: PlacedRun, progress: float, now: float) -> None:
-        if progress > run.progress:
-            run.progress = progress
-            run.progress_at = now
-
-    def _take_end(self, ended: EndedRun) -> None:
-        run = self.book.runs.get(ended.key)
-        if run is None:
-            self.former_ends.keep(ended.key, ended.kind)
-            return
-        ran = self.timers.now() - run.started_at if run.started_at else 0.0
-        self.health.ended(ended.kind, run, ran, self.timers.now())
-        outcome = OUTCOMES[ended.kind]
-        if run.moves and outcome is Outcome.STOPPED:
-            outcome = Outcome.MOVED
-        self.book.finish(run, outcome, ended.kind.value, ran)
-
     # Lives of the upstream.
 
     def _begin_life(self, report: UpstreamReport) -> None:
--- a/bergamotcourse/standins/order_upstream.py
+++ b/bergamotcourse/standins/order_upstream.py
@@ -327,12 +327,12 @@
         if upstream.down or not self.connected():
             await trio.sleep(timeout)
             return None
+        if self._is_other_life(upstream):
+            return HoldFailure.OTHER_BOOT
         if upstream.rng.random() < upstream.behaviour.unanswered:
             self.nursery.start_soon(self._later, order, upstream)
             await trio.sleep(timeout)
             return None
-        if self._is_other_life(upstream):
-            return HoldFailure.OTHER_BOOT
         answer = order(upstream)
         await trio.sleep(self.delay)
         return answer if self.connected() else None
