--- a/bergamotcourse/tests/jobs/test_order_giver.py
+++ b/bergamotcourse/tests/jobs/test_order_giver.py
@@ -26,21 +26,31 @@
         self.verdicts = list(verdicts)
         self.orders = []
         self.pause = 0.0
+        self.on_order = lambda number: None
 
     async def start(self, order, timeout):
         self.orders.append(order)
+        self.on_order(len(self.orders))
         await trio.sleep(self.pause)
         return StartReply(self.verdicts.pop(0))
 
 
-def order_start(*verdicts, may_start=lambda: True):
-    """Return what a start comes to, and how many answers were not asked for."""
+def order_start(*verdicts, may_start=lambda: True, stopped_at=0):
+    """Return what a start comes to, and how many answers were not asked for.
+
+    The run is to be stopped while the order of a number is on its way.
+    """
 
     async def main():
         port = Port(verdicts)
         order = PlaceTask(KEY, "job", "", Resources(3100), 100, 0.4, 15)
         run = PlacedRun(KEY, LinkAddress("tcp://entry-1"), order, 0.0)
         run.state = RunState.STARTING
+
+        def stop(number):
+            run.stop_wanted = number > stopped_at > 0
+
+        port.on_order = stop
         life = UpstreamLife(None, port, 0.0, 0.0)
         return await OrderGiver(Timers()).start(run, life, may_start), len(
             port.verdicts
@@ -67,6 +77,11 @@
     ):
         assert order_start(UNKNOWN, verdict)[0] is UNKNOWN
 
+    @pytest.mark.parametrize("verdict", [StartVerdict.STALE, StartVerdict.NO_ROOM])
+    def test_nor_does_one_of_a_run_that_is_to_be_stopped(self, verdict):
+        """A run was told as never started, of which a copy of the order may have run."""
+        assert order_start(UNKNOWN, verdict, stopped_at=1)[0] is UNKNOWN
+
     def test_a_copy_renews_the_lease_no_further(self):
         async def main():
             port = Port([UNKNOWN] * START_ATTEMPTS)
