Believe no refusal of a copy after an order without an answer

What callers could have seen: a job refused as not run that had run.

Cause: an order to start that gets no answer is repeated, and a refused copy says nothing of the first one, except that the refusal was believed where the run was to be stopped by then. That is when it is least true: the bar by which the run is stopped is what the copy is refused for.

Why it holds: after an unanswered order only a confirmed start says something. All else leaves the run to the bar and to what the upstream lists after it.

--- a/bergamotcourse/coordination/jobs/order_giver.py
+++ b/bergamotcourse/coordination/jobs/order_giver.py
@@ -71,11 +71,13 @@
                 order = StartOrder(run.key, run.order.payload, until)
             reply = await self._start_once(life, order, attempt)
             life.hear_clock(reply.clock, self.timers.lease_now())
-            if reply.verdict is StartVerdict.STARTED or run.stop_wanted:
+            if reply.verdict is StartVerdict.STARTED:
                 return reply.verdict
             if reply.verdict is not StartVerdict.UNKNOWN:
                 # An earlier copy may have been carried out, whatever becomes of this.
                 return StartVerdict.UNKNOWN if attempt else reply.verdict
+            if run.stop_wanted:
+                return StartVerdict.UNKNOWN
         return StartVerdict.UNKNOWN
 
     async def _start_once(
--- a/bergamotcourse/tests/jobs/test_order_giver.py
+++ b/bergamotcourse/tests/jobs/test_order_giver.py
@@ -79,7 +79,11 @@
 
     @pytest.mark.parametrize("verdict", [StartVerdict.STALE, StartVerdict.NO_ROOM])
     def test_nor_does_one_of_a_run_that_is_to_be_stopped(self, verdict):
-        """A run was told as never started, of which a copy of the order may have run."""
+        """A run was told as never started, and a copy of its order may have been run.
+
+        The order had no answer, the run was barred, and the next copy was refused as
+        old for just that. The refusal was believed, as the run was to stop anyhow.
+        """
         assert order_start(UNKNOWN, verdict, stopped_at=1)[0] is UNKNOWN
 
     def test_a_copy_renews_the_lease_no_further(self):
