Let a life of the soak's worker answer for itself alone, and leave for longer

A renewal that waited over the end of a life was answered by the next life, on a connection that a real worker would have taken with it. And where workers keep their ids they go on for 2 s after they have said that they leave, so that the check on late starts sees what is placed there.

--- a/bergamotcourse/tests/platform/soak/faults.py
+++ b/bergamotcourse/tests/platform/soak/faults.py
@@ -11,6 +11,7 @@
 from bergamotcourse.tests.platform.soak.proxied_cluster import ProxiedCluster
 from bergamotcourse.tests.platform.soak.proxy import Direction, Proxy
 from bergamotcourse.tests.platform.soak.records import Harm, Records
+from bergamotcourse.tests.platform.soak.verdict import LEAVING_SECONDS
 
 SERIES = 3
 """Faults that may be under way at once."""
@@ -212,6 +213,9 @@
         worker.upstream.draining = True
         if rng.random() < 0.5:
             await trio.sleep(rng.uniform(*SECONDS))
+            if self.keeps_ids:
+                # What it is given until then is not counted.
+                await trio.sleep(LEAVING_SECONDS)
         former = worker.upstream
         former.crash()
         await trio.sleep(rng.uniform(*SECONDS))
--- a/bergamotcourse/tests/platform/standins.py
+++ b/bergamotcourse/tests/platform/standins.py
@@ -126,13 +126,16 @@
         noted = body.get("observed", 0)
         token = body["fencing_token"]
         until = None if until is None else until / 1000
-        holding = self.upstream.look(noted, until, token)
+        life = self.upstream
+        holding = life.look(noted, until, token)
         if isinstance(holding, HoldFailure):
             return self.answer(409, reason="fence")
         if not holding.ended and body.get("wait_ms"):
             with trio.move_on_after(body["wait_ms"] / 1000):
-                await self.upstream.changed.park()
-            holding = self.upstream.look(noted, None, token)
+                await life.changed.park()
+            if life.down:
+                await trio.sleep_forever()
+            holding = life.look(noted, None, token)
         running = [
             [run.key.task, run.key.number, "", round(run.progress * 100)]
             for run in holding.running
@@ -141,7 +144,7 @@
             [end.number, end.key.task, end.key.number, end.kind.value, ""]
             for end in holding.ended
         ]
-        born = self.upstream.incarnation
+        born = life.incarnation
         told = {"born": born} if born else {}
         return self.answer(200, running=running, ended=ended, **told)
 
