Check in the soak what entries take for never started

The soak saw false words of it only where a job was refused for want of room, which its load rarely has. It now reads what the entries log of each run that came back, beside what the workers ran; and where workers keep their ids they are replaced five times as often.

--- a/bergamotcourse/tests/platform/soak/faults.py
+++ b/bergamotcourse/tests/platform/soak/faults.py
@@ -16,6 +16,10 @@
 SERIES = 3
 """Faults that may be under way at once."""
 
+RESTARTS = 5
+"""Times as often, where workers keep their ids: a life is mistaken for the one before
+only once that has counted up."""
+
 PAUSE_SECONDS = (0.05, 1.0)
 SECONDS = (0.05, 2.5)
 DELAY_SECONDS = (0.01, 0.4)
@@ -59,6 +63,8 @@
             self._replace_worker,
             self._configure,
         )
+        if keeps_ids:
+            self.kinds += (self._replace_worker,) * RESTARTS
 
     async def run(self, seconds: float) -> None:
         """Throw faults for so long, and return when all are over."""
--- a/bergamotcourse/tests/platform/soak/run.py
+++ b/bergamotcourse/tests/platform/soak/run.py
@@ -12,7 +12,11 @@
 from bergamotcourse.tests.platform.soak.proxied_cluster import ProxiedCluster
 from bergamotcourse.tests.platform.soak.records import Records
 from bergamotcourse.tests.platform.soak.standstill import watch_standstills
-from bergamotcourse.tests.platform.soak.verdict import find_violations, summarise
+from bergamotcourse.tests.platform.soak.verdict import (
+    find_false_returns,
+    find_violations,
+    summarise,
+)
 
 ENTRIES = 2
 AGENTS = 3
@@ -67,7 +71,12 @@
             callers.stopping = True
         nursery.cancel_scope.cancel()
     late += await settle(cluster)
-    violations = find_violations(records, cluster.history) + late
+    events = [event for node in cluster.entries() for event in node.events()]
+    violations = [
+        *find_violations(records, cluster.history),
+        *find_false_returns(records.attempts, cluster.history, events),
+        *late,
+    ]
     return Result(seed, violations, summarise(records))
 
 
--- a/bergamotcourse/tests/platform/soak/test_verdict.py
+++ b/bergamotcourse/tests/platform/soak/test_verdict.py
@@ -1,12 +1,17 @@
 """Each promise that the soak checks, kept and not kept."""
 
+import pytest
+
 from bergamotcourse.ids import UpstreamId
 from bergamotcourse.protocol.upstream_orders import EndKind, RunKey
 from bergamotcourse.standins.order_upstream import Run
 from bergamotcourse.state.job_spec import TaskName
 from bergamotcourse.state.resources import Resources
 from bergamotcourse.tests.platform.soak.records import Attempt, Harm, Records, Seen
-from bergamotcourse.tests.platform.soak.verdict import find_violations
+from bergamotcourse.tests.platform.soak.verdict import (
+    find_false_returns,
+    find_violations,
+)
 
 JOB = "0000000000000001"
 
@@ -53,6 +58,30 @@
         assert lines == [f"nobody asked for {JOB}"]
 
 
+class TestReturns:
+    @pytest.mark.parametrize(
+        "outcome, run, seen, found",
+        [
+            ("returned", 1, [Seen.SUCCEEDED], 1),
+            ("stale", 1, [Seen.SUCCEEDED], 1),
+            ("lost", 1, [Seen.SUCCEEDED], 0),
+            ("returned", 2, [Seen.SUCCEEDED], 0),
+            ("returned", 1, [Seen.CUT, Seen.SUCCEEDED], 0),
+        ],
+    )
+    def test_of_runs_that_ran_are_false(self, outcome, run, seen, found):
+        event = {
+            "event": "task.again",
+            "request": JOB,
+            "task": f"{JOB}.0.0.0",
+            "run": run,
+            "outcome": outcome,
+        }
+        attempts = make_records(*seen).attempts
+        lines = find_false_returns(attempts, [make_run(1, 0.0, 1.0)], [event])
+        assert len(lines) == found
+
+
 class TestAnswers:
     def test_a_refusal_of_what_ran_is_false(self):
         records = make_records(Seen.REFUSED)
--- a/bergamotcourse/tests/platform/soak/verdict.py
+++ b/bergamotcourse/tests/platform/soak/verdict.py
@@ -76,6 +76,26 @@
     ]
 
 
+def find_false_returns(
+    attempts: list[Attempt], history: list[Run], events: list[dict]
+) -> list[str]:
+    """A run that an entry took for never started, and that ran.
+
+    Only of jobs that were handed in once: two entries number the runs of one that was
+    handed in again alike.
+    """
+    times = Counter(attempt.job for attempt in attempts)
+    ran = {(run.key.task, run.key.number) for run in history}
+    return [
+        f"told as {event['outcome']}, and ran: {event['task']} run {event['run']}"
+        for event in events
+        if event["event"] == "task.again"
+        and event["outcome"] in ("returned", "stale")
+        and times[event["request"]] == 1
+        and (event["task"], event["run"]) in ran
+    ]
+
+
 def find_cuts(records: Records, history: list[Run]) -> list[str]:
     """An attempt without an answer, though no fault was near and its job had begun.
 
