--- a/bergamotcourse/platform/documents.py
+++ b/bergamotcourse/platform/documents.py
@@ -243,9 +243,10 @@
 
 
 def decode_departure(upstream: str, body: bytes) -> LifeKey:
-    """Return the life of a worker that ends; one that says nothing goes by its id."""
-    try:
-        departure = decode(_departure, body)
-    except ValueError:
-        departure = WireDeparture()
+    """Return the life of a worker that ends; of one that says nothing only the id.
+
+    Raises:
+        ValueError: What it says is malformed.
+    """
+    departure = decode(_departure, body) if body else WireDeparture()
     return LifeKey(UpstreamId(upstream), Incarnation(departure.born))
--- a/bergamotcourse/platform/reports.py
+++ b/bergamotcourse/platform/reports.py
@@ -47,9 +47,7 @@
         if path.startswith(REPORT_PATH):
             return self._report(path.removeprefix(REPORT_PATH), request.body)
         if path.startswith(LEAVE_PATH):
-            life = decode_departure(path.removeprefix(LEAVE_PATH), request.body)
-            self.executor.upstream_left(life)
-            return json_answer({})
+            return self._leave(path.removeprefix(LEAVE_PATH), request.body)
         return plain_problem(404, "no such call")
 
     def _report(self, upstream: str, body: bytes) -> HttpResponse:
@@ -65,6 +63,16 @@
             self.on_change()
         return json_answer({})
 
+    def _leave(self, upstream: str, body: bytes) -> HttpResponse:
+        try:
+            life = decode_departure(upstream, body)
+        except ValueError as error:
+            # It ends all the same, and tells nobody else.
+            self.log.write("departure.malformed", upstream=upstream, why=str(error))
+            life = decode_departure(upstream, b"")
+        self.executor.upstream_left(life)
+        return json_answer({})
+
     def _known(self) -> tuple[LifeKey | None, str | None]:
         """Return what others are told: the life that is here, and what is refused."""
         life = self.executor.life
--- a/bergamotcourse/tests/platform/test_reports.py
+++ b/bergamotcourse/tests/platform/test_reports.py
@@ -111,6 +111,8 @@
         agent = Agent()
         assert agent.report(body, path=LEAVE_PATH) == 200
         assert agent.taken.left == [LifeKey("i-1", incarnation)]
+        malformed = [kind for kind, _ in agent.lines if kind == "departure.malformed"]
+        assert len(malformed) == (body == b'{"born": "x"}')
 
 
 class TestReports:
