--- a/bergamotcourse/tests/jobs/test_contact_on_demand.py
+++ b/bergamotcourse/tests/jobs/test_contact_on_demand.py
@@ -6,7 +6,11 @@
 from bergamotcourse.coordination.jobs import entry_contact
 from bergamotcourse.coordination.jobs.entry_contact import EntryContact
 from bergamotcourse.coordination.jobs.job_run import JobOutcome
-from bergamotcourse.coordination.jobs.lease_terms import OPEN_SECONDS, OVER_SECONDS
+from bergamotcourse.coordination.jobs.lease_terms import (
+    OPEN_SECONDS,
+    OVER_SECONDS,
+    WARM_SECONDS,
+)
 from bergamotcourse.protocol.task_messages import Hello
 from bergamotcourse.tests.jobs.chaos import Chaos
 from bergamotcourse.tests.jobs.fleets import run_fleet
@@ -94,6 +98,48 @@
         run_fleet(main, agents=1)
 
 
+class TestSlowEntry:
+    def test_a_run_that_starts_at_once_is_not_taken_back(self):
+        """Two runs of a task overlapped on a calm day, for 46 ms.
+
+        The first was stopped 99 ms after its start, the second started 53 ms after it.
+        """
+
+        async def main(fleet):
+            await fleet.submit("entry-1", job("before", tasks=12))
+            entry = fleet.entries["entry-1"]
+            links = {link.name: link for link in entry.links.links.values()}
+            await trio.sleep(WARM_SECONDS / 2)
+            fleet.network.cut(AGENT, ENTRY)
+            await trio.sleep(links["agent-1"].heard_at + 0.39 - trio.current_time())
+            links["agent-2"].unanswered = True
+            take_a_while_to_place(entry, seconds=0.02)
+            spec = job("a", tasks=1, work=2.0)
+            fleet.nursery.start_soon(fleet.submit, "entry-1", spec)
+            await trio.sleep(0.01)
+            links["agent-2"].unanswered = False
+            fleet.network.heal(AGENT, ENTRY)
+            await trio.sleep(2.0)
+            assert len([run for run in fleet.history if run.total == 2.0]) == 2
+            assert fleet.overlaps() == []
+
+        run_fleet(main, agents=2)
+
+
+def take_a_while_to_place(entry, seconds):
+    """Let time pass between the choice of an agent and the placement there."""
+    choices, now = entry.links.choices, entry.timers.now
+    late = [0.0]
+
+    def choose():
+        chosen = choices()
+        late[0] = seconds
+        return chosen
+
+    entry.links.choices = choose
+    entry.timers.now = lambda: now() + late[0]
+
+
 async def answers_come_late(fleet):
     """An agent takes a placement; its answers come once the run is placed elsewhere."""
     await out_of_contact(fleet)
