Take a placement back only if it surely has not started

What callers saw: nothing yet.

Cause: an entry asked twice whether it is in contact with an agent, when it chose it and when it placed there. In between it went from 0.4 s of silence to a little more, and the run was noted as one that waits for the agent's answer. The agent starts by echoes for 0.45 s, so it started the run at once, ended its session 50 ms later, and the entry took the run back as never started while it was being stopped.

Why it holds: what is placed waits only if the agent has been silent for longer than any echo is good for, by the clock at the placement, and no run was placed there before. Whatever else is placed is waited for.

--- a/bergamotcourse/coordination/jobs/agent_link.py
+++ b/bergamotcourse/coordination/jobs/agent_link.py
@@ -79,6 +79,10 @@
         silent = now - self.heard_at
         return silent <= SILENT_SECONDS and not self.over and self.room is not None
 
+    def may_start_at_once(self, now: float) -> bool:
+        """Return whether an echo from before may still give contact."""
+        return now - self.heard_at < REACH_SECONDS
+
     def is_opening(self, now: float) -> bool:
         """Return whether it may answer a placement without contact yet."""
         return self.opened_at is not None and now - self.opened_at < OPEN_SECONDS
@@ -99,7 +103,7 @@
 
         Not before ``REACH_SECONDS``: an echo sent before may give contact until then.
         """
-        return self.may_ask(now) and now - self.heard_at >= REACH_SECONDS
+        return self.may_ask(now) and not self.may_start_at_once(now)
 
     def is_lost(self, now: float) -> bool:
         """Return whether all runs there are over, whatever became of the agent."""
@@ -107,6 +111,17 @@
             return False
         return now - self.heard_at > OVER_SECONDS
 
+    def note_opening(self, now: float) -> None:
+        """Note that what is placed now waits for an answer, if it surely does.
+
+        An entry that is slow may find an agent silent that was in contact when it was
+        chosen. What is placed there, or was before, may be started yet: taken back as
+        one that can't be, a run would run twice.
+        """
+        waits = not self.placed and not self.may_start_at_once(now)
+        if self.opened_at is None and waits:
+            self.opened_at = now
+
     # Load.
 
     def load(self) -> Resources:
--- a/bergamotcourse/coordination/jobs/agent_links.py
+++ b/bergamotcourse/coordination/jobs/agent_links.py
@@ -137,8 +137,7 @@
     ) -> None:
         """Place a run at an agent."""
         now = self.timers.now()
-        if not link.in_contact(now) and link.opened_at is None:
-            link.opened_at = now
+        link.note_opening(now)
         link.add(order.key, needs, owner)
         link.out.add(order)
         self._mark(link)
