Show that tasks start in a zone that is evacuated

The operator asks that nothing more starts at the upstreams of an availability zone. The stand-in of the store now tells of dropped rows in its feed, as the platform's page says, and a cluster of the tests may lie in several zones.

--- a/bergamotcourse/tests/platform/cluster.py
+++ b/bergamotcourse/tests/platform/cluster.py
@@ -77,6 +77,7 @@
     Attributes:
         addresses: Where it listens, by purpose.
         store: The store's address, as this process knows it.
+        zone: Where it is.
     """
 
     name: str
@@ -85,6 +86,7 @@
     log: Path
     addresses: dict[str, tuple[str, int]]
     store: tuple[str, int] = (HOME, 0)
+    zone: str = "north"
     process: subprocess.Popen | None = None
 
     def kill(self) -> None:
@@ -126,10 +128,12 @@
         net: The first three numbers of the addresses, claimed for this cluster alone.
         claim: Holds ``net`` for as long as the cluster lives.
         history: All runs on all workers.
+        zones: Over which the processes of a role are dealt out.
     """
 
     folder: Path
     nursery: trio.Nursery
+    zones: tuple[str, ...] = ("north",)
     net: str = ""
     claim: socket.socket | None = None
     rows: Rows = field(default_factory=Rows)
@@ -163,6 +167,7 @@
                 name = f"agent-{number - entries}"
                 node = self.add_node(name, "agent", host, link, control)
             node.store = await self.path_to(f"store of {node.name}", (HOME, store))
+            node.zone = self.zones[(int(node.name[-1]) - 1) % len(self.zones)]
         for node in self.nodes.values():
             if node.role == "agent":
                 await self.add_worker(node)
@@ -186,7 +191,7 @@
 
     async def add_worker(self, node: Node) -> None:
         """Start the worker beside an agent."""
-        worker = HttpWorker(self.make_upstream())
+        worker = HttpWorker(self.make_upstream(), node.zone)
         self.workers[node.name] = worker
         port = await self.serve(worker.handle)
         host, port = await self.path_to(f"worker of {node.name}", (HOME, port))
@@ -225,6 +230,15 @@
         value = base64.b64encode(msgspec.json.encode(config)).decode()
         self.rows.transact({"put": [{"table": "op", "key": "config", "value": value}]})
 
+    def evacuate(self, zone: str) -> None:
+        """Ask for nothing more to start in a zone."""
+        row = {"table": "op", "key": f"evacuate/{zone}", "value": "e30="}
+        self.rows.transact({"put": [row]})
+
+    def take_back(self, zone: str) -> None:
+        """Let work start in a zone again."""
+        self.rows.transact({"remove": [{"table": "op", "key": f"evacuate/{zone}"}]})
+
     def last_prefix(self) -> str:
         """Return the path of the route added last."""
         return self.routes[-1]["path_prefix"]
@@ -258,7 +272,8 @@
         serves = "edge,control_plane" if node.role == "entry" else "side"
         store = "{}:{}".format(*node.store)
         return (
-            f"node_name={node.name}\nserves={serves}\nip={node.host}\nzone=north\n"
+            f"node_name={node.name}\nserves={serves}\nip={node.host}\n"
+            f"zone={node.zone}\n"
             f"listen_addrs.frontend={where['front']}\n"
             f"listen_addrs.ready={where['ready']}\n"
             f"listen_addrs.control_plane={where['control']}\n"
--- a/bergamotcourse/tests/platform/standins.py
+++ b/bergamotcourse/tests/platform/standins.py
@@ -29,10 +29,17 @@
 
 
 class Rows:
-    """Keeps rows; ``status`` refuses all calls; ``returned`` counts the last answer."""
+    """Keeps rows.
+
+    Attributes:
+        dropped: The versions at which rows were removed, for the feed.
+        status: Other than 200, it is the answer to all calls.
+        returned: Counts the rows of the last answer.
+    """
 
     def __init__(self):
         self.rows = {}
+        self.dropped = {}
         self.returned = 0
         self.version = 0
         self.status = 200
@@ -45,22 +52,40 @@
         if parts.path.endswith("rows-tx"):
             self.transact(msgspec.json.decode(request.body))
             return self.answer([])
-        after = int(query.get("after", 0))
+        if parts.path.endswith("rows-feed"):
+            rows = self.changes(query["table"], int(query["after"]))
+        else:
+            rows = [
+                {"table": table, "part": "", "key": key, "value": value, "ver": version}
+                for (table, key), (value, version) in sorted(self.rows.items())
+                if table == query["table"]
+                if query.get("from", "") <= key < query.get("to", LAST_KEY)
+            ]
+        self.returned = len(rows)
+        return self.answer(rows)
+
+    def changes(self, table, after):
+        """Return the rows of a table that changed after a version, in order."""
         rows = [
             {"table": table, "part": "", "key": key, "value": value, "ver": version}
-            for (table, key), (value, version) in sorted(self.rows.items())
-            if table == query["table"] and version > after
-            if query.get("from", "") <= key < query.get("to", LAST_KEY)
+            for (of, key), (value, version) in self.rows.items()
+            if of == table and version > after
         ]
-        self.returned = len(rows)
-        return self.answer(rows)
+        rows += [
+            {"table": table, "part": "", "key": key, "ver": version, "deleted": True}
+            for (of, key), version in self.dropped.items()
+            if of == table and version > after
+        ]
+        return sorted(rows, key=lambda row: row["ver"])
 
     def transact(self, call):
         self.version += 1
         for row in call.get("put", []):
             self.rows[row["table"], row["key"]] = (row["value"], self.version)
+            self.dropped.pop((row["table"], row["key"]), None)
         for row in call.get("remove", []):
-            self.rows.pop((row["table"], row["key"]), None)
+            if self.rows.pop((row["table"], row["key"]), None) is not None:
+                self.dropped[row["table"], row["key"]] = self.version
 
     def answer(self, rows):
         body = {"rows": rows, "has_more": False, "ver": self.version, "now_ms": 1}
@@ -71,12 +96,14 @@
     """A worker: takes orders over HTTP, and reports itself to the agent beside it.
 
     Attributes:
+        zone: As it reports it.
         lives: The life that accepted each connection; it ends with that life.
         leaving_known_at: When the agent took the word that this life leaves.
     """
 
-    def __init__(self, upstream: OrderUpstream):
+    def __init__(self, upstream: OrderUpstream, zone="north"):
         self.upstream = upstream
+        self.zone = zone
         self.address = ""
         self.lives = {}
         self.leaving_known_at = None
@@ -173,7 +200,7 @@
             body = {
                 "service": self.upstream.service,
                 "address": self.address,
-                "zone": "north",
+                "zone": self.zone,
                 "version": "v1",
                 "slots": 8,
                 "state": "draining" if self.upstream.draining else "ready",
