Start nothing in an availability zone that is evacuated

Entries now read it with the configuration, in full at first and after a lost history, else by the feed, and pass it on in their greetings. Each word carries the store's version and only a newer one is taken. Entries place nothing in such a zone; agents there hear it in each message of an entry, ahead of its runs, and refuse and hand back what waits, also of an entry that was cut off. A job that no other zone can run is refused at once, also while it waits. Not taken: letting agents read the store (56 more clients of its feed for what each entry's message can carry).

--- a/bergamotcourse/coordination/jobs/agent_links.py
+++ b/bergamotcourse/coordination/jobs/agent_links.py
@@ -10,6 +10,7 @@
 from bergamotcourse.coordination.event_log import EventLog
 from bergamotcourse.coordination.jobs.agent_link import AgentLink
 from bergamotcourse.coordination.jobs.agent_order import AgentOrder
+from bergamotcourse.coordination.jobs.evacuated_zones import EvacuatedZones
 from bergamotcourse.coordination.jobs.lease_terms import ECHO_SECONDS
 from bergamotcourse.coordination.jobs.send_soon import SendSoon
 from bergamotcourse.coordination.timers import Timers
@@ -73,6 +74,7 @@
         entry: Name of the entry.
         boot: Of this process; rises with each process of the entry.
         order: Tells which agents are used first.
+        zones: Tells in which zones nothing is placed.
         entries: Returns the addresses of the other entries.
         on_end: Called with the owner of a run, its link, and its outcome.
         on_settled: Called after the outcomes of one message, or of one lost agent.
@@ -88,10 +90,12 @@
         timers: Timers,
         log: EventLog,
         order: AgentOrder,
+        zones: EvacuatedZones,
     ):
         self.entry = entry
         self.boot = boot
         self.order = order
+        self.zones = zones
         self.entries: Callable[[], list[LinkAddress]] = list
         self.mailer = mailer
         self.timers = timers
@@ -119,6 +123,8 @@
         share = self.order.share()
         choices = Choices()
         for number, link in enumerate(links):
+            if self.zones.has(link.zone):
+                continue
             if link.is_usable(now):
                 (choices.near if number < share else choices.further).append(link)
             elif link.may_open(now):
@@ -126,8 +132,12 @@
                 quiet.append(link)
         return choices
 
-    def known(self) -> list[AgentLink]:
+    def available(self) -> list[AgentLink]:
         """Return all agents at which a run may be placed."""
+        return [link for link in self.known() if not self.zones.has(link.zone)]
+
+    def known(self) -> list[AgentLink]:
+        """Return all agents that are in contact or can be, evacuated ones too."""
         now = self.timers.now()
         links = self.links.values()
         return [link for link in links if link.is_usable(now) or link.may_open(now)]
@@ -147,8 +157,12 @@
         link.out.add(WithdrawTask(key))
         self._mark(link)
 
-    def tell_waiting(self) -> None:
-        """Ask all agents to tell of room."""
+    def tell_all(self) -> None:
+        """Send a message to each agent in contact, with what is news to it.
+
+        For tasks that wait it asks for room; of evacuations the others hear with the
+        answer to their next message.
+        """
         now = self.timers.now()
         for link in self.links.values():
             if link.in_contact(now):
@@ -291,6 +305,7 @@
             first=first,
             items=items,
             waiting=self.is_waiting(),
+            evacuations=self.zones.latest,
         )
         self.mailer.post(link.address, turn)
 
--- a/bergamotcourse/coordination/jobs/contacts.py
+++ b/bergamotcourse/coordination/jobs/contacts.py
@@ -10,6 +10,7 @@
 
 from bergamotcourse.coordination.event_log import EventLog
 from bergamotcourse.coordination.jobs.entry_contact import EntryContact, lease_end_of
+from bergamotcourse.coordination.jobs.evacuated_zones import EvacuatedZones
 from bergamotcourse.coordination.jobs.executor import Executor
 from bergamotcourse.coordination.jobs.policy import JobPolicy
 from bergamotcourse.coordination.jobs.send_soon import SendSoon
@@ -52,6 +53,7 @@
         name: Of the agent.
         boot: Of this process; also its fencing token at the upstream.
         leaving: A farewell was sent; nothing follows it.
+        zones: The evacuated zones, as entries tell of them.
     """
 
     def __init__(
@@ -75,6 +77,8 @@
         self.log = log
         self.entries: dict[LinkAddress, EntryContact] = {}
         self.leaving = False
+        self.zones = EvacuatedZones(log)
+        self.zones.on_change = self._zones_changed
         self.soon = SendSoon(self._send_to)
         executor.book.report_end = self.report_end
         executor.book.room_changed = self.room_changed
@@ -154,8 +158,13 @@
 
     # What entries send.
 
+    def _zones_changed(self) -> None:
+        self.executor.set_evacuated(self.zones.has(self.zone))
+        self.tell_all()
+
     def _take_greeting(self, sender: LinkAddress, greeting: Hello) -> None:
         """Answer an entry that has come back: it has lost what was sent before."""
+        self.zones.adopt(greeting.evacuations, f"entry {sender}")
         self.learn([sender, *greeting.entries])
         contact = self.entries[sender]
         if contact.is_absent(self.timers.now()):
@@ -166,6 +175,8 @@
         contact = self.entries[sender]
         now = self.timers.now()
         contact.heard_at = now
+        # Before the runs that it brings, which may be meant for another zone by now.
+        self.zones.adopt(turn.evacuations, f"entry {sender}")
         if turn.boot != self.boot or turn.entry_boot < contact.entry_boot:
             return
         self._note_entry_boot(contact, turn.entry_boot)
--- a/bergamotcourse/coordination/jobs/executor.py
+++ b/bergamotcourse/coordination/jobs/executor.py
@@ -71,6 +71,7 @@
         born: When this process began; runs of an earlier one are over
             ``LAPSE_SECONDS`` after it.
         stopping: Nothing new is taken.
+        evacuated: Nothing new is taken, as the operator has evacuated the zone.
     """
 
     def __init__(
@@ -94,6 +95,7 @@
         self.holds = 0
         self.paused_until = 0.0
         self.stopping = False
+        self.evacuated = False
         self.health = self._new_health()
         self.nursery: trio.Nursery | None = None
         self.wake = trio.Event()
@@ -159,6 +161,15 @@
             here=self.life.report.id,
         )
 
+    def set_evacuated(self, evacuated: bool) -> None:
+        """Take the word whether this upstream's zone is evacuated.
+
+        What runs goes on to its end.
+        """
+        self.evacuated = evacuated
+        if evacuated:
+            self.book.return_waiting("the zone is evacuated")
+
     def place(self, entry: LinkAddress, order: PlaceTask) -> None:
         """Take a run that an entry places."""
         if order.key in self.book.runs:
@@ -208,6 +219,8 @@
         """Return why no task is taken now, or ``None``."""
         if self.stopping:
             return "the agent is stopping"
+        if self.evacuated:
+            return "the zone is evacuated"
         if self.life is None:
             return "no upstream"
         if self.life.report.draining:
--- a/bergamotcourse/coordination/jobs/job_dispatcher.py
+++ b/bergamotcourse/coordination/jobs/job_dispatcher.py
@@ -154,7 +154,7 @@
         for job in list(self.waiting):
             self._refuse_if_idle(job)
         if self.waiting and not self.was_waiting:
-            self.links.tell_waiting()
+            self.links.tell_all()
         self.was_waiting = bool(self.waiting)
 
     def take_room(self, link: AgentLink) -> None:
@@ -165,6 +165,13 @@
         if self.waiting and link.room.capacity.cpu > link.load_cpu():
             self.pump()
 
+    def take_evacuations(self) -> None:
+        """Refuse what only evacuated zones could run; the rest may be placed anew."""
+        for job in self.waiting:
+            if not job.may_have_run:
+                self._refuse_if_hopeless(job, NEVER)
+        self.pump()
+
     def take_end(self, task: TaskRun, link: AgentLink, ended: TaskEnded) -> None:
         """Take the outcome of a run."""
         job = task.job
@@ -209,15 +216,23 @@
             objective_ms=round(job.objective * 1000),
             waits_ms=round(seconds * 1000),
         )
-        age = job.arrived - self.began
-        left = min(seconds, self.ends_at - job.arrived)
-        refusal = refusal_at_once(job, self.links.known(), age, left)
+        self._refuse_if_hopeless(job, min(seconds, self.ends_at - job.arrived))
+        if job.outcome is None:
+            self.pump()
+        return job
+
+    def _refuse_if_hopeless(self, job: JobRun, left: float) -> None:
+        """Refuse a job that certainly cannot be served.
+
+        Args:
+            job: A job of which nothing was placed.
+            left: Seconds until its caller leaves, or this entry ends.
+        """
+        age = self.timers.now() - self.began
+        refusal = refusal_at_once(job, self.links.available(), age, left)
         if refusal is not None:
             job.retry_after = refusal.retry_after
             job.finish(JobOutcome.REFUSED, refusal.why)
-        else:
-            self.pump()
-        return job
 
     async def _see_to_its_end(self, job: JobRun, seconds: float) -> None:
         now = self.timers.now()
--- a/bergamotcourse/coordination/jobs/peers.py
+++ b/bergamotcourse/coordination/jobs/peers.py
@@ -1,8 +1,9 @@
-"""The entry's peers: how processes find each other, and pass on the configuration.
+"""The entry's peers: how processes find each other, and pass on what is in force.
 
 Discovery rests on three sources, any of which is enough: the addresses in the settings,
-the rows in the platform's store, and what peers tell. The configuration is read from
-the store, and from peers where the store turns this process away.
+the rows in the platform's store, and what peers tell. The configuration and the
+evacuated zones are read from the store, and from peers where the store turns this
+process away.
 """
 
 import random
@@ -12,6 +13,7 @@
 import trio
 
 from bergamotcourse.coordination.event_log import EventLog
+from bergamotcourse.coordination.jobs.evacuated_zones import EvacuatedZones
 from bergamotcourse.coordination.jobs.queues_in_force import QueuesInForce
 from bergamotcourse.coordination.timers import Timers
 from bergamotcourse.ids import LinkAddress
@@ -69,6 +71,7 @@
         mailer: Mailer,
         timers: Timers,
         queues: QueuesInForce,
+        zones: EvacuatedZones,
         log: EventLog,
         rng: random.Random | None = None,
     ):
@@ -77,11 +80,12 @@
         self.mailer = mailer
         self.timers = timers
         self.queues = queues
+        self.zones = zones
         self.log = log
         self.peers: dict[LinkAddress, Peer] = {}
         self.agents: Callable[[], list[LinkAddress]] = list
         self.asked_at = -1e9
-        queues.on_change = self._greet
+        queues.on_change = self.tell_change
 
     async def run(self) -> None:
         """Greet peers until cancelled."""
@@ -114,6 +118,10 @@
             case Farewell(agent=False):
                 self.peers.pop(sender, None)
 
+    def tell_change(self) -> None:
+        """Greet some peers at once, as what is in force has changed."""
+        self._greet()
+
     def greet_agents(self, addresses: list[LinkAddress]) -> None:
         """Make this entry known to agents that it has not greeted."""
         known = set(self.agents())
@@ -134,6 +142,7 @@
             peer = self.peers.get(sender)
             if peer is not None:
                 peer.heard_at = self.timers.now()
+        self.zones.adopt(greeting.evacuations, f"peer {sender}")
         if greeting.config > self.queues.version:
             self.mailer.post(sender, ConfigWanted(self.queues.version))
         if greeting.asks:
@@ -169,4 +178,11 @@
     def _greeting(self, asks: bool, whole: bool = False) -> Hello:
         entries = list(self.peers) if whole else []
         agents = self.agents() if whole else []
-        return Hello(False, entries, agents, self.queues.version, asks)
+        return Hello(
+            agent=False,
+            entries=entries,
+            agents=agents,
+            config=self.queues.version,
+            asks=asks,
+            evacuations=self.zones.latest,
+        )
--- a/bergamotcourse/coordination/jobs/store_watch.py
+++ b/bergamotcourse/coordination/jobs/store_watch.py
@@ -1,4 +1,4 @@
-"""What a process reads from the platform's store: the configuration and the entries."""
+"""What a process reads from the platform's store: configuration, zones, entries."""
 
 import random
 from collections.abc import Callable
@@ -8,11 +8,13 @@
 from expression import Result
 
 from bergamotcourse.coordination.event_log import EventLog
+from bergamotcourse.coordination.jobs.evacuated_zones import EvacuatedZones
 from bergamotcourse.coordination.jobs.queues_in_force import QueuesInForce
 from bergamotcourse.errors import StepError
 from bergamotcourse.ids import LinkAddress
 from bergamotcourse.protocol.job_store import ConfigRead, HistoryGoneError, JobStore
 from bergamotcourse.protocol.upstream_orders import UpstreamReport
+from bergamotcourse.state.evacuations import Evacuations, apply_changes
 
 T = TypeVar("T")
 
@@ -75,7 +77,7 @@
 
 
 class ConfigFeed:
-    """Follows the configuration in the store.
+    """Follows the configuration and the evacuated zones in the store.
 
     Attributes:
         peers: Returns the number of other entries, which also tell of changes.
@@ -85,18 +87,20 @@
         self,
         store: JobStore,
         queues: QueuesInForce,
+        zones: EvacuatedZones,
         rng: random.Random,
         log: EventLog,
         peers: Callable[[], int] = int,
     ):
         self.store = store
         self.queues = queues
+        self.zones = zones
         self.peers = peers
         self.backoff = Backoff("config", rng, log)
         self.position: int | None = None
 
     async def run(self) -> None:
-        """Follow the configuration until cancelled."""
+        """Follow them until cancelled."""
         while True:
             await self._take(await self._read())
 
@@ -117,6 +121,7 @@
                 await self.backoff.failed(error)
 
     async def _adopt(self, read: ConfigRead) -> None:
+        self.zones.adopt(self._evacuations_after(read), "store")
         if read.content is not None:
             self.queues.adopt(read.content, "store")
         elif read.position == self.position:
@@ -128,6 +133,12 @@
             return
         self.position = read.position
 
+    def _evacuations_after(self, read: ConfigRead) -> Evacuations:
+        if read.is_whole:
+            zones = sorted(change.zone for change in read.zones)
+            return Evacuations(read.position, tuple(zones))
+        return apply_changes(self.zones.latest, read.zones)
+
 
 class EntryRows:
     """The rows by which entries are found."""
--- a/bergamotcourse/daemons/job_entry.py
+++ b/bergamotcourse/daemons/job_entry.py
@@ -4,6 +4,7 @@
 
 from bergamotcourse.coordination.jobs.agent_links import AgentLinks
 from bergamotcourse.coordination.jobs.agent_order import AgentOrder
+from bergamotcourse.coordination.jobs.evacuated_zones import EvacuatedZones
 from bergamotcourse.coordination.jobs.job_dispatcher import JobDispatcher
 from bergamotcourse.coordination.jobs.job_service import JobService
 from bergamotcourse.coordination.jobs.peers import Peers
@@ -40,6 +41,7 @@
         self.node = node
         self.stopping = False
         self.queues = QueuesInForce(node.platform.decode_queues, node.log)
+        self.zones = EvacuatedZones(node.log)
         self.links = AgentLinks(
             node.settings.name,
             node.boot,
@@ -47,6 +49,7 @@
             node.timers,
             node.log,
             AgentOrder(node.address, node.settings.zone, node.policy.keeps_to_share),
+            self.zones,
         )
         self.jobs = JobDispatcher(
             node.settings.zone,
@@ -57,8 +60,15 @@
             node.settings.remote_factor,
         )
         self.peers = Peers(
-            node.address, node.mailer, node.timers, self.queues, node.log, node.rng
+            node.address,
+            node.mailer,
+            node.timers,
+            self.queues,
+            self.zones,
+            node.log,
+            node.rng,
         )
+        self.zones.on_change = self._zones_changed
         self.peers.agents = lambda: list(self.links.links)
         self.links.entries = lambda: list(self.peers.peers)
         processor = ProcessorLag(
@@ -77,6 +87,7 @@
         feed = ConfigFeed(
             node.store,
             self.queues,
+            self.zones,
             node.rng,
             node.log,
             lambda: len(self.peers.peers),
@@ -110,6 +121,11 @@
             case _:
                 self.peers.take(sender, message)
 
+    def _zones_changed(self) -> None:
+        self.peers.tell_change()
+        self.links.tell_all()
+        self.jobs.take_evacuations()
+
     def is_ready(self) -> bool:
         """Return whether this entry wants callers."""
         return (
--- a/bergamotcourse/platform/store.py
+++ b/bergamotcourse/platform/store.py
@@ -9,11 +9,12 @@
 
 from bergamotcourse.coordination.event_log import EventLog
 from bergamotcourse.errors import Step, StepError
-from bergamotcourse.ids import LinkAddress
+from bergamotcourse.ids import LinkAddress, ZoneName
 from bergamotcourse.platform.documents import decode
 from bergamotcourse.platform.settings_file import is_address
 from bergamotcourse.protocol.job_store import ConfigRead, HistoryGoneError
 from bergamotcourse.protocol.upstream_orders import UpstreamReport
+from bergamotcourse.state.evacuations import ZoneChange
 from bergamotcourse.state.node_settings import Endpoint
 from bergamotcourse.transport.datagram_link import SCHEME
 from bergamotcourse.transport.http import HttpRequest
@@ -21,6 +22,7 @@
 
 OPERATOR_TABLE = "op"
 CONFIG_KEY = "config"
+EVACUATION_PREFIX = "evacuate/"
 ENTRY_TABLE = "entries"
 UPSTREAM_TABLE = "upstreams"
 HISTORY_GONE_STATUS = 410
@@ -83,18 +85,18 @@
         self.skipped: set[tuple[str, str, int]] = set()
 
     async def read_config(self, timeout: float) -> Result[ConfigRead, StepError]:
-        """Return the configuration."""
+        """Return the configuration, and all zones that are evacuated."""
         rows = await self._read(OPERATOR_TABLE, timeout)
-        return rows.map(self._config_in)
+        return rows.map(lambda read: self._config_in(read, is_whole=True))
 
     async def config_changes(
         self, after: int, wait: float, timeout: float
     ) -> Result[ConfigRead, StepError]:
-        """Return the configuration if it changes within ``wait`` seconds."""
+        """Return what of these changes within ``wait`` seconds."""
         fields = {"table": OPERATOR_TABLE, "after": after, "wait_ms": int(wait * 1000)}
         target = f"/bergamotcourse/rows-feed?{urlencode(fields)}"
         rows = await self._get(OPERATOR_TABLE, target, timeout)
-        return rows.map(self._config_in)
+        return rows.map(lambda read: self._config_in(read, is_whole=False))
 
     async def put_entry(
         self, address: LinkAddress, timeout: float
@@ -196,17 +198,21 @@
         self.skipped.add(known)
         self.log.write("store.row_skipped", table=table, key=row.key, why=str(error))
 
-    def _config_in(self, read: Rows) -> ConfigRead:
+    def _config_in(self, read: Rows, is_whole: bool) -> ConfigRead:
+        """Return what the rows of the operator's table ask for."""
+        return ConfigRead(
+            read.version, self._content_in(read), zone_changes_in(read), is_whole
+        )
+
+    def _content_in(self, read: Rows) -> bytes | None:
         """Return the configuration among the rows of the operator's table."""
         for row in read.rows:
             if row.key == CONFIG_KEY and not row.deleted:
                 try:
-                    content = base64.b64decode(row.value, validate=True)
+                    return base64.b64decode(row.value, validate=True)
                 except ValueError as error:
                     self._skip(OPERATOR_TABLE, row, error)
-                    continue
-                return ConfigRead(read.version, content)
-        return ConfigRead(read.version, None)
+        return None
 
     def _entries_in(self, read: Rows) -> list[LinkAddress]:
         """Return the entries that the rows name."""
@@ -245,6 +251,20 @@
         return Error(StepError(Step.STORE, self.client.peer, f"status {status}"))
 
 
+def zone_changes_in(read: Rows) -> tuple[ZoneChange, ...]:
+    """Return the zones that rows of the operator's table evacuate or take back.
+
+    The key tells all: a row whose value cannot be read evacuates its zone, too.
+    """
+    changes = []
+    for row in read.rows:
+        zone = ZoneName(row.key.removeprefix(EVACUATION_PREFIX))
+        if row.key.startswith(EVACUATION_PREFIX) and zone:
+            version = row.ver or read.version
+            changes.append(ZoneChange(zone, not row.deleted, version))
+    return tuple(changes)
+
+
 def link_address_in(key: str) -> LinkAddress:
     """Return the address of a process that a row's key is.
 
--- a/bergamotcourse/protocol/job_store.py
+++ b/bergamotcourse/protocol/job_store.py
@@ -8,19 +8,24 @@
 from bergamotcourse.errors import StepError
 from bergamotcourse.ids import LinkAddress
 from bergamotcourse.protocol.upstream_orders import UpstreamReport
+from bergamotcourse.state.evacuations import ZoneChange
 
 
 @dataclass(frozen=True)
 class ConfigRead:
-    """The configuration as the store holds it.
+    """What the operator asks for, as the store holds it.
 
     Attributes:
         position: Up to where the store's changes are covered.
-        content: ``None`` where there is none, or it has not changed.
+        content: The configuration; ``None`` where there is none, or it has not changed.
+        zones: The zones that are evacuated or taken back.
+        is_whole: No zone is evacuated but those of ``zones``.
     """
 
     position: int
     content: bytes | None
+    zones: tuple[ZoneChange, ...] = ()
+    is_whole: bool = False
 
 
 class HistoryGoneError(StepError):
@@ -31,12 +36,12 @@
     """The store's calls; each has a timeout in seconds, and none is repeated."""
 
     async def read_config(self, timeout: float) -> Result[ConfigRead, StepError]:
-        """Return the configuration."""
+        """Return the configuration, and all zones that are evacuated."""
 
     async def config_changes(
         self, after: int, wait: float, timeout: float
     ) -> Result[ConfigRead, StepError]:
-        """Return the configuration if it changes within ``wait`` seconds."""
+        """Return what of these changes within ``wait`` seconds."""
 
     async def put_entry(
         self, address: LinkAddress, timeout: float
--- a/bergamotcourse/protocol/task_messages.py
+++ b/bergamotcourse/protocol/task_messages.py
@@ -9,6 +9,7 @@
 
 from bergamotcourse.protocol.message import Message
 from bergamotcourse.protocol.upstream_orders import RunKey
+from bergamotcourse.state.evacuations import Evacuations
 from bergamotcourse.state.resources import Resources
 
 
@@ -128,6 +129,7 @@
         seen: The last item received of the agent's stream.
         first: Number of the first of ``items``.
         waiting: The entry has tasks that find no room: tell it of any.
+        evacuations: As the entry knows them.
     """
 
     entry: str
@@ -139,6 +141,7 @@
     first: int
     items: list[PlaceTask | WithdrawTask]
     waiting: bool
+    evacuations: Evacuations = Evacuations()
 
 
 class EndSession(Message, frozen=True):
@@ -160,6 +163,7 @@
         agent: The sender is an agent, else an entry.
         config: The version of the configuration in force at an entry.
         asks: The receiver is to answer with a greeting of its own.
+        evacuations: As the sender knows them.
     """
 
     agent: bool
@@ -167,6 +171,7 @@
     agents: list[str]
     config: int
     asks: bool
+    evacuations: Evacuations = Evacuations()
 
 
 class ConfigWanted(Message, frozen=True):
--- a/bergamotcourse/tests/jobs/test_configuration.py
+++ b/bergamotcourse/tests/jobs/test_configuration.py
@@ -8,14 +8,16 @@
 from expression import Error, Ok
 
 from bergamotcourse.coordination.event_log import EventLog
+from bergamotcourse.coordination.jobs.evacuated_zones import EvacuatedZones
 from bergamotcourse.coordination.jobs.peers import Peers
 from bergamotcourse.coordination.jobs.queues_in_force import QueuesInForce
 from bergamotcourse.coordination.jobs.store_watch import ConfigFeed
 from bergamotcourse.coordination.timers import Timers
 from bergamotcourse.errors import Step, StepError
-from bergamotcourse.ids import ConfigVersion, LinkAddress
+from bergamotcourse.ids import ConfigVersion, LinkAddress, ZoneName
 from bergamotcourse.protocol.job_store import ConfigRead, HistoryGoneError
 from bergamotcourse.protocol.mailer import Mailer
+from bergamotcourse.state.evacuations import Evacuations, ZoneChange
 from bergamotcourse.state.job_spec import QueueTable
 from bergamotcourse.transport.memory_link import MemoryNetwork
 from bergamotcourse.virtual.clock import run_virtual
@@ -36,10 +38,19 @@
     return QueuesInForce(decode, EventLog())
 
 
+def make_zones():
+    return EvacuatedZones(EventLog())
+
+
+def evacuation(version, *zones):
+    return Evacuations(version, tuple(ZoneName(zone) for zone in zones))
+
+
 class FakeStore:
-    """A store with one configuration.
+    """A store with one configuration, and zones that may be evacuated.
 
     Attributes:
+        zones: The last change of each zone.
         error: Fails all calls.
         waits: Whether a call for changes waits for one.
     """
@@ -47,6 +58,7 @@
     def __init__(self):
         self.version = 0
         self.position = 0
+        self.zones = {}
         self.error = None
         self.waits = True
         self.calls = 0
@@ -55,13 +67,22 @@
         self.version = version
         self.position += 1
 
+    def evacuate(self, zone, evacuated=True):
+        self.position += 1
+        self.zones[zone] = ZoneChange(ZoneName(zone), evacuated, self.position)
+
+    def changes(self, after):
+        found = (one for one in self.zones.values() if one.version > after)
+        return tuple(sorted(found, key=lambda change: change.version))
+
     async def read_config(self, timeout):
         self.calls += 1
         if self.error:
             await trio.sleep(0.01)
             return Error(self.error)
         found = content(self.version) if self.version else None
-        return Ok(ConfigRead(self.position, found))
+        standing = tuple(one for one in self.zones.values() if one.evacuated)
+        return Ok(ConfigRead(self.position, found, standing, is_whole=True))
 
     async def config_changes(self, after, wait, timeout):
         self.calls += 1
@@ -71,7 +92,11 @@
             if self.error:
                 return Error(self.error)
             if self.position > after:
-                return Ok(ConfigRead(self.position, content(self.version)))
+                return Ok(
+                    ConfigRead(
+                        self.position, content(self.version), self.changes(after)
+                    )
+                )
             await trio.sleep(0.01)
         return Ok(ConfigRead(self.position, None))
 
@@ -91,18 +116,23 @@
         assert queues.version == 7
 
 
-class TestConfigFeed:
-    def follow(self, scenario):
-        async def main():
-            store, queues = FakeStore(), make_queues()
-            feed = ConfigFeed(store, queues, random.Random(1), EventLog())
-            async with trio.open_nursery() as nursery:
-                nursery.start_soon(feed.run)
-                await scenario(store, queues)
-                nursery.cancel_scope.cancel()
+def follow(scenario, zones=None):
+    """Run a scenario with a store, and the queues of a process that follows it."""
+
+    async def main():
+        store, queues = FakeStore(), make_queues()
+        feed = ConfigFeed(
+            store, queues, zones or make_zones(), random.Random(1), EventLog()
+        )
+        async with trio.open_nursery() as nursery:
+            nursery.start_soon(feed.run)
+            await scenario(store, queues)
+            nursery.cancel_scope.cancel()
+
+    run_virtual(main, 1)
 
-        run_virtual(main, 1)
 
+class TestConfigFeed:
     def test_the_first_and_each_change_are_in_force_at_once(self):
         async def scenario(store, queues):
             await trio.sleep(1.0)
@@ -111,7 +141,7 @@
                 await trio.sleep(0.3)
                 assert queues.version == version
 
-        self.follow(scenario)
+        follow(scenario)
 
     @pytest.mark.parametrize(
         ("error", "seconds", "version"),
@@ -132,7 +162,7 @@
             await trio.sleep(IN_FORCE_SECONDS)
             assert queues.version == version
 
-        self.follow(scenario)
+        follow(scenario)
 
     def test_a_store_that_refuses_is_not_pressed(self):
         async def scenario(store, queues):
@@ -140,7 +170,7 @@
             await trio.sleep(10.0)
             assert store.calls <= 20
 
-        self.follow(scenario)
+        follow(scenario)
 
     def test_a_store_that_answers_at_once_is_not_pressed(self):
         async def scenario(store, queues):
@@ -152,7 +182,45 @@
             await trio.sleep(0.1)
             assert queues.version == 4
 
-        self.follow(scenario)
+        follow(scenario)
+
+
+class TestEvacuationFeed:
+    """The zones come with the configuration, and through the same failures."""
+
+    def test_each_change_is_in_force_at_once(self):
+        zones = make_zones()
+
+        async def scenario(store, queues):
+            store.put(3)
+            store.evacuate("north")
+            await trio.sleep(1.0)
+            assert zones.latest.zones == ("north",)
+            store.evacuate("south")
+            await trio.sleep(0.3)
+            assert zones.latest.zones == ("north", "south")
+            store.evacuate("north", evacuated=False)
+            await trio.sleep(0.3)
+            assert zones.latest.zones == ("south",)
+
+        follow(scenario, zones)
+
+    @pytest.mark.parametrize("evacuated", [True, False])
+    def test_one_that_the_history_has_lost_is_read_whole(self, evacuated):
+        zones = make_zones()
+
+        async def scenario(store, queues):
+            store.put(3)
+            store.evacuate("north", not evacuated)
+            await trio.sleep(0.5)
+            store.error = HistoryGoneError(Step.STORE, "store", "history is gone")
+            await trio.sleep(0.2)
+            store.evacuate("north", evacuated)
+            store.error = None
+            await trio.sleep(IN_FORCE_SECONDS)
+            assert zones.has("north") is evacuated
+
+        follow(scenario, zones)
 
 
 class TestPeers:
@@ -169,7 +237,11 @@
                     queues = make_queues()
                     timers = Timers(random.Random(3))
                     rng = random.Random(len(entries))
-                    peers = Peers(address, mailer, timers, queues, EventLog(), rng)
+                    log = EventLog()
+                    peers = Peers(
+                        address, mailer, timers, queues, make_zones(), log, rng
+                    )
+                    peers.zones.on_change = peers.tell_change
                     mailer.handler = peers.take
                     peers.learn(addresses, from_settings=True)
                     nursery.start_soon(mailer.run)
@@ -197,6 +269,26 @@
 
         self.converse(scenario, entries=35)
 
+    def test_evacuations_reach_thirty_others_that_the_store_turns_away(self):
+        async def scenario(network, addresses, entries):
+            entries[0][0].zones.adopt(evacuation(7, "north"), "store")
+            await trio.sleep(IN_FORCE_SECONDS)
+            assert all(peers.zones.has("north") for peers, _ in entries)
+            entries[5][0].zones.adopt(evacuation(9), "store")
+            await trio.sleep(IN_FORCE_SECONDS)
+            assert not any(peers.zones.has("north") for peers, _ in entries)
+
+        self.converse(scenario, entries=35)
+
+    def test_an_older_word_on_evacuations_changes_nothing(self):
+        async def scenario(network, addresses, entries):
+            entries[0][0].zones.adopt(evacuation(9), "store")
+            entries[1][0].zones.adopt(evacuation(7, "north"), "store")
+            await trio.sleep(IN_FORCE_SECONDS)
+            assert not any(peers.zones.has("north") for peers, _ in entries)
+
+        self.converse(scenario)
+
     def test_the_greetings_of_many_are_bounded(self):
         """Each greets six in a round, and knows agents and a configuration."""
 
--- /dev/null
+++ b/bergamotcourse/tests/jobs/test_evacuations.py
@@ -0,0 +1,214 @@
+"""Zones that are evacuated: where jobs go, what is refused, and who learns it how."""
+
+import random
+
+import pytest
+import trio
+from hypothesis import given
+from hypothesis import strategies as st
+
+from bergamotcourse.coordination.jobs.job_order import LEARNING_SECONDS
+from bergamotcourse.coordination.jobs.job_run import JobOutcome
+from bergamotcourse.ids import ZoneName
+from bergamotcourse.state.evacuations import Evacuations, ZoneChange, apply_changes
+from bergamotcourse.tests.jobs.chaos import Chaos
+from bergamotcourse.tests.jobs.fleets import run_fleet
+from bergamotcourse.virtual.job_fleet import job
+
+NORTH, SOUTH = "zone-1", "zone-2"
+
+LEARNT_SECONDS = 0.3
+"""In which agents hear of an evacuation from entries that are in contact."""
+
+EVACUATED_SECONDS = 5.0
+"""After which nothing may start in an evacuated zone, whatever fails."""
+
+
+def zones_used(fleet, since=0):
+    """Return the zones in which runs have started."""
+    return {zone_of(fleet, run) for run in fleet.history[since:]}
+
+
+def zone_of(fleet, run):
+    """Return the zone of a run: upstreams are named after their agents."""
+    return fleet.zone_of(run.upstream.removeprefix("upstream-").rpartition("-")[0])
+
+
+def evacuate_at(fleet, entry, version, *zones):
+    """Tell one entry alone that zones are evacuated."""
+    word = Evacuations(version, tuple(ZoneName(zone) for zone in zones))
+    fleet.entries[entry].zones.adopt(word, "store")
+
+
+class TestChanges:
+    @given(
+        st.lists(st.tuples(st.sampled_from("abc"), st.booleans()), max_size=12),
+        st.randoms(use_true_random=False),
+    )
+    def test_all_processes_agree_however_they_learn(self, made, rng):
+        """One has read all in turn, the others parts of it and what peers told."""
+        changes = [
+            ZoneChange(ZoneName(zone), evacuated, number)
+            for number, (zone, evacuated) in enumerate(made, start=1)
+        ]
+        leader = apply_changes(Evacuations(), tuple(changes))
+        views = [Evacuations()]
+        for _ in range(4):
+            cut = rng.randint(0, len(changes))
+            view = apply_changes(Evacuations(), tuple(changes[:cut]))
+            views.append(max(view, *views, key=lambda one: one.version))
+        for view in views:
+            assert apply_changes(view, tuple(changes)) == leader
+
+
+class TestPlacing:
+    def test_jobs_go_to_other_zones_until_it_is_taken_back(self):
+        async def main(fleet):
+            fleet.evacuate(SOUTH)
+            for number in range(4):
+                answer = await fleet.submit("entry-1", job(f"a{number}", work=0.1))
+                assert answer.outcome is JobOutcome.SUCCEEDED
+            assert zones_used(fleet) == {NORTH}
+            fleet.evacuate()
+            await trio.sleep(LEARNT_SECONDS)
+            await fleet.submit("entry-1", job("b", tasks=30, work=0.1))
+            assert zones_used(fleet) == {NORTH, SOUTH}
+
+        run_fleet(main, zones=2)
+
+    def test_what_runs_there_goes_on_to_its_end(self):
+        async def main(fleet):
+            fleet.nursery.start_soon(
+                fleet.submit, "entry-1", job("a", tasks=30, work=1.0)
+            )
+            await trio.sleep(0.3)
+            assert zones_used(fleet) == {NORTH, SOUTH}
+            fleet.evacuate(SOUTH)
+            await trio.sleep(3.0)
+            assert len(fleet.history) == 30
+
+        run_fleet(main, zones=2)
+
+    def test_another_zone_than_ours_changes_nothing(self):
+        async def main(fleet):
+            fleet.evacuate("zone-9")
+            await fleet.submit("entry-1", job("a", tasks=30, work=0.1))
+            assert zones_used(fleet) == {NORTH, SOUTH}
+
+        run_fleet(main, zones=2)
+
+
+class TestRefusals:
+    def test_with_no_zone_left_a_job_is_refused_at_once(self):
+        async def main(fleet):
+            await trio.sleep(LEARNING_SECONDS)
+            fleet.evacuate(NORTH, SOUTH)
+            begun = trio.current_time()
+            answer = await fleet.submit("entry-1", job("a"))
+            assert answer.outcome is JobOutcome.REFUSED
+            assert answer.at == begun
+            assert fleet.history == []
+
+        run_fleet(main, zones=2)
+
+    def test_so_is_one_that_waits_for_room(self):
+        async def main(fleet):
+            await trio.sleep(LEARNING_SECONDS)
+            full = job("full", tasks=40, work=2.0)
+            fleet.nursery.start_soon(fleet.submit, "entry-1", full)
+            await trio.sleep(0.2)
+            outcomes = []
+
+            async def wait():
+                answer = await fleet.submit("entry-1", job("a", work=1.0))
+                outcomes.append((answer.outcome, answer.at))
+
+            fleet.nursery.start_soon(wait)
+            await trio.sleep(0.1)
+            assert outcomes == []
+            fleet.evacuate(NORTH, SOUTH)
+            now = trio.current_time()
+            await trio.sleep(0.05)
+            assert outcomes == [(JobOutcome.REFUSED, now)]
+
+        run_fleet(main, zones=2)
+
+
+class TestWhoLearns:
+    def test_an_agent_refuses_what_an_entry_with_an_old_view_places(self):
+        """Its entry may be cut off from the store and from all other entries."""
+
+        async def main(fleet):
+            evacuate_at(fleet, "entry-1", 1, SOUTH)
+            await trio.sleep(LEARNT_SECONDS)
+            answer = await fleet.submit("entry-2", job("a", tasks=20, work=0.1))
+            assert answer.outcome is JobOutcome.SUCCEEDED
+            assert zones_used(fleet) == {NORTH}
+
+        run_fleet(main, zones=2)
+
+    def test_an_agent_takes_the_newest_word_of_all_entries(self):
+        async def main(fleet):
+            evacuate_at(fleet, "entry-1", 2)
+            evacuate_at(fleet, "entry-2", 1, SOUTH)
+            await trio.sleep(LEARNT_SECONDS)
+            await fleet.submit("entry-1", job("a", tasks=30, work=0.1))
+            assert zones_used(fleet) == {NORTH, SOUTH}
+
+        run_fleet(main, zones=2)
+
+    @pytest.mark.parametrize("name", ["entry-1", "agent-2"])
+    def test_a_process_that_starts_in_the_middle_knows_it(self, name):
+        async def main(fleet):
+            fleet.evacuate(SOUTH)
+            await trio.sleep(LEARNT_SECONDS)
+            if name.startswith("entry"):
+                fleet.entries[name].kill()
+                fleet.start_entry(name)
+            else:
+                fleet.agents[name].kill()
+                fleet.start_agent(name)
+            await trio.sleep(2.0)
+            answer = await fleet.submit("entry-1", job("a", tasks=16, work=0.1))
+            assert answer.outcome is JobOutcome.SUCCEEDED
+            assert zones_used(fleet) == {NORTH}
+
+        run_fleet(main, zones=2)
+
+
+class TestChaos:
+    """Zones are evacuated and taken back while processes and links fail."""
+
+    @pytest.mark.parametrize("seed", range(6))
+    def test_nothing_starts_there_and_no_promise_is_broken(self, seed):
+        async def main(fleet):
+            evacuated = []
+
+            async def evacuate_in_turn():
+                rng = random.Random(seed)
+                for _ in range(2):
+                    await trio.sleep(rng.uniform(0.1, 0.5))
+                    zone = rng.choice((NORTH, SOUTH))
+                    fleet.evacuate(zone)
+                    began = trio.current_time()
+                    await trio.sleep(rng.uniform(1.0, 9.0))
+                    fleet.evacuate()
+                    evacuated.append((zone, began, trio.current_time()))
+
+            chaos = Chaos(fleet, seed)
+            async with trio.open_nursery() as nursery:
+                nursery.start_soon(evacuate_in_turn)
+                for _ in range(3):
+                    await chaos.run()
+            assert fleet.overlaps() == []
+            assert chaos.refused_and_ran() == set()
+            late = [
+                (run.key.task, run.started_at, zone, began)
+                for zone, began, ended in evacuated
+                for run in fleet.history
+                if zone_of(fleet, run) == zone
+                and began + EVACUATED_SECONDS < run.started_at < ended
+            ]
+            assert late == []
+
+        run_fleet(main, seed=seed, zones=2)
--- a/bergamotcourse/tests/platform/test_store.py
+++ b/bergamotcourse/tests/platform/test_store.py
@@ -13,6 +13,7 @@
 from bergamotcourse.platform.store import Store
 from bergamotcourse.protocol.job_store import HistoryGoneError
 from bergamotcourse.protocol.upstream_orders import UpstreamReport
+from bergamotcourse.state.evacuations import ZoneChange
 from bergamotcourse.state.node_settings import Endpoint
 from bergamotcourse.state.resources import Resources
 from bergamotcourse.tests.platform.standins import Rows
@@ -65,6 +66,39 @@
 
         with_store(rows, use)
 
+    def test_comes_with_the_zones_that_are_evacuated(self):
+        """The key tells the zone, whatever stands in the row."""
+        rows = Rows()
+        put = [
+            {"table": "op", "key": f"evacuate/{zone}", "value": value}
+            for zone, value in [("north", "e30="), ("south", "?"), ("", "e30=")]
+        ]
+        rows.transact({"put": put})
+
+        async def use(store):
+            read = (await store.read_config(1.0)).ok
+            assert read.is_whole
+            assert [change.zone for change in read.zones] == ["north", "south"]
+
+        with_store(rows, use)
+
+    def test_tells_which_zones_are_taken_back_since(self):
+        rows = Rows()
+        for zone in ("north", "south"):
+            row = {"table": "op", "key": f"evacuate/{zone}", "value": "e30="}
+            rows.transact({"put": [row]})
+        rows.transact({"remove": [{"table": "op", "key": "evacuate/north"}]})
+
+        async def use(store):
+            read = (await store.config_changes(1, 0.0, 1.0)).ok
+            assert not read.is_whole
+            assert read.zones == (
+                ZoneChange(ZoneName("south"), True, 2),
+                ZoneChange(ZoneName("north"), False, 3),
+            )
+
+        with_store(rows, use)
+
     def test_there_may_be_none(self):
         async def use(store):
             assert (await store.read_config(1.0)).ok.content is None
--- a/bergamotcourse/virtual/job_fleet.py
+++ b/bergamotcourse/virtual/job_fleet.py
@@ -9,6 +9,7 @@
 from bergamotcourse.coordination.jobs.agent_links import AgentLinks
 from bergamotcourse.coordination.jobs.agent_order import AgentOrder
 from bergamotcourse.coordination.jobs.contacts import Contacts
+from bergamotcourse.coordination.jobs.evacuated_zones import EvacuatedZones
 from bergamotcourse.coordination.jobs.executor import Executor
 from bergamotcourse.coordination.jobs.job_dispatcher import JobDispatcher
 from bergamotcourse.coordination.jobs.job_run import JobOutcome
@@ -22,6 +23,7 @@
     StandInPort,
     overlaps,
 )
+from bergamotcourse.state.evacuations import Evacuations
 from bergamotcourse.state.job_spec import JobId, JobQueue, JobSpec, StepSpec
 from bergamotcourse.state.resources import Resources
 from bergamotcourse.transport.memory_link import MemoryNetwork
@@ -155,7 +157,7 @@
         self.executor = Executor(self._connect, self.timers, self.log, fleet.policy)
         self.contacts = Contacts(
             name,
-            "zone-1",
+            fleet.zone_of(name),
             self.boot,
             self.executor,
             self.mailer,
@@ -200,6 +202,7 @@
 
     def __init__(self, fleet: "JobFleet", name: str):
         super().__init__(fleet, name)
+        self.zones = EvacuatedZones(self.log)
         self.links = AgentLinks(
             name,
             fleet.next_boot(),
@@ -207,17 +210,23 @@
             self.timers,
             self.log,
             AgentOrder(self.address, ZoneName("zone-1"), fleet.policy.keeps_to_share),
+            self.zones,
         )
         self.links.entries = lambda: [one.address for one in fleet.entries.values()]
         self.jobs = JobDispatcher(
             "zone-1", self.links, self.timers, self.log, fleet.policy, REMOTE_FACTOR
         )
         self.mailer.handler = self._handle
+        self.zones.on_change = self._zones_changed
 
     async def run(self) -> None:
         """Run until killed."""
         await self.serve(self.links.run)
 
+    def _zones_changed(self) -> None:
+        self.links.tell_all()
+        self.jobs.take_evacuations()
+
     def _handle(self, sender, message) -> None:
         match message:
             case AgentTurn():
@@ -245,6 +254,8 @@
         lives: The last life of each upstream by its id.
         tells_incarnations: Whether upstreams tell which of their lives it is.
         racks: Over which the upstreams are dealt out.
+        zones: Over which the agents are dealt out.
+        evacuations: In force; each entry that starts knows them.
     """
 
     def __init__(
@@ -255,8 +266,11 @@
         seed: int = 0,
         policy: JobPolicy | None = None,
         racks: int = 1,
+        zones: int = 1,
     ):
         self.policy = policy or JobPolicy()
+        self.zones = zones
+        self.evacuations = Evacuations()
         self.racks = racks
         self.nursery = nursery
         self.rng = random.Random(seed)
@@ -288,6 +302,7 @@
     def start_entry(self, name: str) -> EntryProcess:
         """Start an entry, or start it anew."""
         entry = EntryProcess(self, name)
+        entry.zones.adopt(self.evacuations, "store")
         self.entries[name] = entry
         self.nursery.start_soon(entry.run)
         return entry
@@ -351,6 +366,18 @@
         self.nursery.start_soon(upstream.run)
         return upstream
 
+    def evacuate(self, *zones: str) -> None:
+        """Let these zones, and no others, be evacuated."""
+        version = self.evacuations.version + 1
+        self.evacuations = Evacuations(version, tuple(map(ZoneName, sorted(zones))))
+        for entry in self.entries.values():
+            entry.zones.adopt(self.evacuations, "store")
+
+    def zone_of(self, agent: str) -> str:
+        """Return the zone of an agent; they are dealt out in turn."""
+        number = int(agent.rpartition("-")[2])
+        return f"zone-{(number - 1) % self.zones + 1}"
+
     def rack_of(self, agent: str) -> str:
         """Return the rack of an agent; they are dealt out in turn."""
         number = int(agent.rpartition("-")[2]) if self.racks > 1 else 1
