Bring about an overload of thin links that does not end

The logs show one entry that places nothing any more although it hears its agents: the items of all its 15 streams are sent again twice a second and none is confirmed. Told each second, on a scratch copy, it sends 250 to 320 kB/s in 125 payloads; its link passes 250.

Networks in memory can have links of limited rate now, and loads can say the entries' rate and how long payloads are.

--- a/bergamotcourse/bench/replay/load_file.py
+++ b/bergamotcourse/bench/replay/load_file.py
@@ -10,6 +10,7 @@
 
 Positive = Annotated[float, msgspec.Meta(gt=0)]
 Seconds = Annotated[float, msgspec.Meta(ge=0)]
+Rate = Annotated[float, msgspec.Meta(ge=0)]
 Share = Annotated[float, msgspec.Meta(ge=0, le=1)]
 Count = Annotated[int, msgspec.Meta(ge=1)]
 
@@ -28,6 +29,7 @@
         worth: Of a job in time; in any unit.
         slack_factor: Of the objective, with ``target``.
         target: Seconds of the objective beside its part for the work.
+        payload_bytes: Of the payload that each of its tasks is told.
     """
 
     name: str
@@ -37,6 +39,7 @@
     worth: Positive = 1.0
     slack_factor: Positive = 1.6
     target: Seconds = 0.06
+    payload_bytes: Count = 1
 
 
 class Event(msgspec.Struct, frozen=True, forbid_unknown_fields=True, tag_field="kind"):
@@ -125,6 +128,7 @@
         slots: Tasks that an upstream runs at a time.
         slowest: Times as long as at the fastest that tasks take at the slowest
             upstream; the others lie between.
+        link_mbps: Of each entry's link, in each direction; 0 for no limit.
     """
 
     kinds: list[Kind]
@@ -135,6 +139,7 @@
     agents: Count = 10
     slots: Count = 10
     slowest: Positive = 1.0
+    link_mbps: Rate = 0.0
     spread: Seconds = 0.44
     error: Share = 0.2
 
--- a/bergamotcourse/bench/replay/run.py
+++ b/bergamotcourse/bench/replay/run.py
@@ -28,6 +28,11 @@
 
 TASK_MEM_MB = 64
 
+PADDING = "."
+"""Fills payloads up; the name of the kind stands before it."""
+
+BYTES_PER_MBIT = 125_000
+
 
 class Callers:
     """Hands in the jobs of a load.
@@ -88,7 +93,8 @@
     def _make_job(self, kind: Kind) -> JobSpec:
         width = max(1, round(kind.tasks * self.rng.lognormvariate(-0.08, 0.4)))
         step = StepSpec(width, self.needs, kind.work)
-        return JobSpec(JobId(f"j{next(self.numbers)}"), kind.name, (step,))
+        payload = kind.name.ljust(kind.payload_bytes, PADDING)
+        return JobSpec(JobId(f"j{next(self.numbers)}"), payload, (step,))
 
     def _longest_task(self, spec: JobSpec) -> float:
         runs = self.fleet.history[self.noted :]
@@ -136,7 +142,8 @@
 
     def work_of(payload: str) -> tuple[Resources, float]:
         spread = rng.lognormvariate(0, load.spread)
-        return needs, works[payload] * errors[payload] * spread
+        kind = payload.rstrip(PADDING)
+        return needs, works[kind] * errors[kind] * spread
 
     return work_of
 
@@ -148,6 +155,9 @@
         async with trio.open_nursery() as nursery:
             fleet = JobFleet(nursery, load.entries, load.agents, seed, policy)
             fleet.work_of = make_work(load, random.Random(seed))
+            if load.link_mbps:
+                names = [f"entry-{number + 1}" for number in range(load.entries)]
+                fleet.limit_links(names, load.link_mbps * BYTES_PER_MBIT)
             await fleet.start()
             set_speeds(fleet, load)
             outcome = Outcome()
--- a/bergamotcourse/transport/memory_link.py
+++ b/bergamotcourse/transport/memory_link.py
@@ -16,6 +16,7 @@
 
 from bergamotcourse.errors import StepError
 from bergamotcourse.ids import LinkAddress
+from bergamotcourse.transport.bottleneck import Bottleneck
 
 DEFAULT_DELAY = 0.0005
 
@@ -59,6 +60,7 @@
         reorder: Each payload is late by up to so many seconds more, at random. At
             0 the payloads of a pair arrive in the order of sending.
         sent: Traffic by pair.
+        bottlenecks: The links, out and in, of addresses whose rate is limited.
         held: What frozen addresses have sent, by sender.
         tap: Sees each payload before it leaves; it is lost if this returns false.
     """
@@ -80,6 +82,7 @@
         self.reorder = reorder
         self.sent: dict[Pair, Traffic] = defaultdict(Traffic)
         self.links: dict[LinkAddress, MemoryLink] = {}
+        self.bottlenecks: dict[LinkAddress, tuple[Bottleneck, Bottleneck]] = {}
         self.cut_pairs: set[Pair] = set()
         self.cut_addresses: set[LinkAddress] = set()
         self.frozen: set[LinkAddress] = set()
@@ -145,8 +148,25 @@
             return
         copies = 2 if self.rng.random() < self.duplicate else 1
         for _ in range(copies):
-            due = self._due(sender, receiver)
-            link.put(Delivery(due, next(self.numbers), payload))
+            due = self._pass(sender, receiver, len(payload))
+            if due is not None:
+                link.put(Delivery(due, next(self.numbers), payload))
+
+    def _pass(
+        self, sender: LinkAddress, receiver: LinkAddress, size: int
+    ) -> float | None:
+        """Return when a payload arrives, or ``None`` if a full link loses it."""
+        due = self._due(sender, receiver)
+        if sender in self.bottlenecks:
+            out, _ = self.bottlenecks[sender]
+            passed = out.pass_at(size, trio.current_time())
+            if passed is None:
+                return None
+            due += passed - trio.current_time()
+        if receiver in self.bottlenecks:
+            _, into = self.bottlenecks[receiver]
+            return into.pass_at(size, due)
+        return due
 
     def _is_lost(self, sender: LinkAddress, receiver: LinkAddress) -> bool:
         if (sender, receiver) in self.cut_pairs:
--- a/bergamotcourse/virtual/job_fleet.py
+++ b/bergamotcourse/virtual/job_fleet.py
@@ -26,6 +26,7 @@
 from bergamotcourse.state.evacuations import Evacuations
 from bergamotcourse.state.job_spec import JobId, JobQueue, JobSpec, StepSpec
 from bergamotcourse.state.resources import Resources
+from bergamotcourse.transport.bottleneck import Bottleneck
 from bergamotcourse.transport.memory_link import MemoryNetwork
 from bergamotcourse.virtual.pause import Pause, VirtualTimers
 
@@ -34,6 +35,8 @@
 NEEDS = Resources(3_100, 64, 0)
 REPORT_SECONDS = 1.5
 LINK_DELAY = 0.001
+QUEUE_SECONDS = 0.6
+"""For which payloads may wait at a limited link."""
 
 QUEUE = JobQueue(
     name="check",
@@ -288,6 +291,14 @@
         self.agents: dict[str, AgentProcess] = {}
         self.numbers = (entries, agents)
 
+    def limit_links(self, entries: list[str], bytes_per_second: float) -> None:
+        """Limit the rate of entries' links, in each direction."""
+        for name in entries:
+            self.network.bottlenecks[LinkAddress(f"tcp://{name}")] = (
+                Bottleneck(bytes_per_second, QUEUE_SECONDS),
+                Bottleneck(bytes_per_second, QUEUE_SECONDS),
+            )
+
     async def start(self) -> None:
         """Start all processes, and return once the entries know all agents."""
         entries, agents = self.numbers
