Send again no more at a time than fits into a packet

Cause: a stream of items that had one late item sent all of its items again, with the payloads of all tasks. On a full link each peer's message grew with what was lost, and 15 peers twice a second filled the link by themselves; so nothing was confirmed and nothing got better once the load was gone.

Of late items the oldest are sent again, up to 1,400 bytes, and nothing behind them until they are confirmed: the receiver would not take it.

The test of a gap before a message is replaced by two on the last item, which is at least as strict.

--- a/bergamotcourse/coordination/jobs/agent_links.py
+++ b/bergamotcourse/coordination/jobs/agent_links.py
@@ -304,6 +304,7 @@
             seen=link.incoming.seen,
             first=first,
             items=items,
+            last=link.out.last,
             waiting=self.is_waiting(),
             evacuations=self.zones.latest,
         )
--- a/bergamotcourse/coordination/jobs/entry_contact.py
+++ b/bergamotcourse/coordination/jobs/entry_contact.py
@@ -79,11 +79,11 @@
     def may_release(self, turn: EntryTurn, lease_now: float) -> bool:
         """Return whether a message lets the held runs start.
 
-        It has to renew the lease itself and to come after all items before it: one of
-        these may take a held run back.
+        It has to renew the lease itself, and all items that the entry had by then must
+        have come: one of these may take a held run back.
         """
         renews = lease_now < lease_end_of(turn)
-        return renews and not self.incoming.lacks(turn.first)
+        return renews and self.incoming.seen >= turn.last
 
     def release(self) -> list[PlaceTask]:
         """Return the held runs, which are held no longer."""
--- a/bergamotcourse/coordination/jobs/item_stream.py
+++ b/bergamotcourse/coordination/jobs/item_stream.py
@@ -7,8 +7,14 @@
     MOST_RESEND_SECONDS,
     RESEND_SECONDS,
 )
+from bergamotcourse.protocol.task_messages import Item
 
-T = TypeVar("T")
+T = TypeVar("T", bound=Item)
+
+REPEATED_BYTES = 1400
+"""Of the items that are sent again at a time, which then fit into one packet. Were all
+to be sent again, a full link would be kept full: the more it loses, the more it is
+given to carry."""
 
 
 class Outgoing(Generic[T]):
@@ -32,6 +38,11 @@
         """Append an item."""
         self.items.append(item)
 
+    @property
+    def last(self) -> int:
+        """Return the number of the last item."""
+        return self.first + len(self.items) - 1
+
     def confirm(self, number: int, now: float) -> None:
         """Drop the items up to a number, which the peer has received."""
         while self.items and self.first <= number:
@@ -41,25 +52,40 @@
             self.sent_at = now
             self.resends = 0
 
-    def has_news(self) -> bool:
-        """Return whether an item was never sent."""
-        return self.sent < len(self.items)
-
     def is_late(self, now: float) -> bool:
         """Return whether items must be sent again."""
         wait = min(RESEND_SECONDS * 2**self.resends, MOST_RESEND_SECONDS)
         return self.sent > 0 and now - self.sent_at >= wait
 
     def take(self, now: float) -> tuple[int, list[T]]:
-        """Return what to send now: the number of the first item, and the items."""
-        again = self.is_late(now)
-        skipped = 0 if again else self.sent
-        items = list(self.items)[skipped:]
-        if items and not skipped:
+        """Return what to send now: the number of the first item, and the items.
+
+        Behind an item that is late the receiver takes nothing, so until that one is
+        confirmed nothing else is sent.
+        """
+        if self.is_late(now):
+            return self.first, self._send_again(now)
+        if self.resends:
+            return self.first + self.sent, []
+        first = self.first + self.sent
+        items = list(self.items)[self.sent :]
+        if not self.sent:
             self.sent_at = now
-            self.resends += again
         self.sent = len(self.items)
-        return self.first + skipped, items
+        return first, items
+
+    def _send_again(self, now: float) -> list[T]:
+        """Return the oldest items, as many as may be sent again at a time."""
+        self.sent_at = now
+        self.resends += 1
+        self.sent = 0
+        size = 0
+        for item in self.items:
+            size += item.size()
+            if self.sent and size > REPEATED_BYTES:
+                break
+            self.sent += 1
+        return list(self.items)[: self.sent]
 
     def restart(self) -> None:
         """Number the unconfirmed items anew, for a new session."""
@@ -82,7 +108,3 @@
         fresh = items[self.seen + 1 - first :]
         self.seen += len(fresh)
         return fresh
-
-    def lacks(self, first: int) -> bool:
-        """Return whether items before a number have not come yet."""
-        return first > self.seen + 1
--- a/bergamotcourse/protocol/task_messages.py
+++ b/bergamotcourse/protocol/task_messages.py
@@ -12,10 +12,17 @@
 from bergamotcourse.state.evacuations import Evacuations
 from bergamotcourse.state.resources import Resources
 
+ITEM_BYTES = 100
+"""Of an encoded item beside its payload."""
+
 
 class Item(Message, frozen=True):
     """Base of the items of a stream."""
 
+    def size(self) -> int:
+        """Return about how many bytes it has when encoded."""
+        return ITEM_BYTES
+
 
 class PlaceTask(Item, frozen=True):
     """Start a task, or queue it until there is room.
@@ -35,6 +42,10 @@
     estimate: float
     patience: int
 
+    def size(self) -> int:
+        """Return about how many bytes it has when encoded."""
+        return ITEM_BYTES + len(self.payload)
+
 
 class WithdrawTask(Item, frozen=True):
     """End a run, or bar it; its end is reported in each case."""
@@ -128,6 +139,7 @@
         echo_ms: ``sent_ms`` of the agent's last message.
         seen: The last item received of the agent's stream.
         first: Number of the first of ``items``.
+        last: Number of the last item that the entry has for the agent, sent or not.
         waiting: The entry has tasks that find no room: tell it of any.
         evacuations: As the entry knows them.
     """
@@ -140,6 +152,7 @@
     seen: int
     first: int
     items: list[PlaceTask | WithdrawTask]
+    last: int
     waiting: bool
     evacuations: Evacuations = Evacuations()
 
--- a/bergamotcourse/tests/jobs/test_contact_on_demand.py
+++ b/bergamotcourse/tests/jobs/test_contact_on_demand.py
@@ -11,7 +11,7 @@
     OVER_SECONDS,
     WARM_SECONDS,
 )
-from bergamotcourse.protocol.task_messages import Hello
+from bergamotcourse.protocol.task_messages import EntryTurn, Hello
 from bergamotcourse.protocol.upstream_orders import EndKind
 from bergamotcourse.tests.jobs.chaos import Chaos
 from bergamotcourse.tests.jobs.fleets import run_fleet
@@ -206,6 +206,27 @@
         assert run_fleet(main, agents=2)
 
 
+class TestRelease:
+    """What was placed without contact is released by a message of its entry."""
+
+    def turn(self, last, echo_ms=1000):
+        return EntryTurn("entry-1", 1, 1, 1, echo_ms, 0, 1, [], last, False)
+
+    def contact(self, seen):
+        contact = EntryContact(ENTRY, 0.0)
+        contact.incoming.seen = seen
+        return contact
+
+    def test_needs_all_items_that_the_entry_had(self):
+        contact = self.contact(seen=2)
+        assert contact.may_release(self.turn(last=2), 1.0)
+        assert not contact.may_release(self.turn(last=3), 1.0)
+
+    def test_needs_a_message_that_renews_the_lease(self):
+        contact = self.contact(seen=2)
+        assert not contact.may_release(self.turn(last=2, echo_ms=100), 1.0)
+
+
 class TestOvertaking:
     """A placement arrives after the echo of a later message, which gave contact."""
 
@@ -244,7 +265,7 @@
 
     def test_by_any_contact_it_would(self, monkeypatch):
         def may_release(self, turn, lease_now):
-            return self.has_lease(lease_now) and not self.incoming.lacks(turn.first)
+            return self.has_lease(lease_now) and self.incoming.seen >= turn.last
 
         monkeypatch.setattr(EntryContact, "may_release", may_release)
         assert run_fleet(self.placement_comes_last, agents=2)
--- a/bergamotcourse/tests/jobs/test_handshake_model.py
+++ b/bergamotcourse/tests/jobs/test_handshake_model.py
@@ -21,12 +21,15 @@
     Attributes:
         own_echo: A run starts by the echo of the message that lets it, not by a lease
             that the agent has from another.
-        no_gap: That message must come after all items before it.
+        no_gap: All items that the entry had when it sent that message must have come.
+        told_last: The message tells of all these items, not only of those before its
+            own: of many that are sent again it carries the first alone.
         only_unheard: A run is taken back only while nothing was heard.
     """
 
     own_echo: bool = True
     no_gap: bool = True
+    told_last: bool = True
     only_unheard: bool = True
 
 
@@ -37,6 +40,7 @@
     fresh: bool
     first: int
     items: tuple[str, ...]
+    last: int
 
 
 @dataclass(frozen=True)
@@ -74,9 +78,12 @@
         yield replace(state, taken_back=True, items=(PLACE, WITHDRAW))
     if state.taken_back and not state.heard:
         return
-    for first in range(1, len(state.items) + 2):
-        message = FromEntry(state.heard, first, state.items[first - 1 :])
-        yield replace(state, to_agent=state.to_agent | {message})
+    last = len(state.items)
+    for first in range(1, last + 2):
+        for end in range(first - 1, last + 1):
+            items = state.items[first - 1 : end]
+            message = FromEntry(state.heard, first, items, last)
+            yield replace(state, to_agent=state.to_agent | {message})
 
 
 def agent_steps(state: State, rules: Rules):
@@ -96,7 +103,8 @@
         fresh = message.items[state.seen + 1 - message.first :]
     for item in fresh:
         state = replace(state, held=item is PLACE, seen=state.seen + 1)
-    lacks = message.first > state.seen + 1
+    last = message.last if rules.told_last else message.first - 1
+    lacks = state.seen < last
     may_start = renews if rules.own_echo else state.lease
     if state.held and may_start and not (rules.no_gap and lacks):
         return replace(state, held=False, started=True)
@@ -131,9 +139,10 @@
         [
             Rules(own_echo=False),
             Rules(no_gap=False),
+            Rules(told_last=False),
             Rules(only_unheard=False),
         ],
-        ids=["own echo", "no gap", "only unheard"],
+        ids=["own echo", "no gap", "told last", "only unheard"],
     )
     def test_without_a_guard_it_may(self, rules):
         _, found = explore(rules)
--- a/bergamotcourse/tests/jobs/test_item_stream.py
+++ b/bergamotcourse/tests/jobs/test_item_stream.py
@@ -1,17 +1,28 @@
 import random
 
-from bergamotcourse.coordination.jobs.item_stream import Incoming, Outgoing
+from bergamotcourse.coordination.jobs.item_stream import (
+    REPEATED_BYTES,
+    Incoming,
+    Outgoing,
+)
 from bergamotcourse.coordination.jobs.lease_terms import (
     MOST_RESEND_SECONDS,
     RESEND_SECONDS,
 )
 
 
+class Letter(str):
+    """An item; one in upper case is as large as all that is sent again at a time."""
+
+    def size(self):
+        return REPEATED_BYTES if self.isupper() else 10
+
+
 def outgoing(items):
     """Return items on their way, none of them sent."""
     out = Outgoing()
     for item in items:
-        out.add(item)
+        out.add(Letter(item))
     return out
 
 
@@ -19,7 +30,7 @@
     def test_sends_each_item_once_until_it_is_late(self):
         out = outgoing("a")
         assert out.take(0.0) == (1, ["a"])
-        out.add("b")
+        out.add(Letter("b"))
         assert out.take(0.1) == (2, ["b"])
         assert not out.is_late(RESEND_SECONDS - 0.01)
         assert out.take(RESEND_SECONDS - 0.01) == (3, [])
@@ -28,7 +39,7 @@
         """Behind a lost one nothing is taken, so the lost one must not wait."""
         out = outgoing("a")
         out.take(0.0)
-        out.add("b")
+        out.add(Letter("b"))
         out.take(RESEND_SECONDS / 2)
         assert out.is_late(RESEND_SECONDS)
         assert out.take(RESEND_SECONDS) == (1, ["a", "b"])
@@ -60,6 +71,33 @@
         assert out.is_late(RESEND_SECONDS)
         assert out.take(RESEND_SECONDS) == (2, ["b", "c"])
 
+    def test_sends_no_more_again_at_a_time_than_fits_into_a_packet(self):
+        out = outgoing("aBcd")
+        out.take(0.0)
+        assert out.take(RESEND_SECONDS) == (1, ["a"])
+        out.confirm(1, RESEND_SECONDS)
+        assert out.take(RESEND_SECONDS) == (2, ["B", "c", "d"])
+
+    def test_sends_a_large_item_again_alone(self):
+        out = outgoing("AB")
+        out.take(0.0)
+        assert out.take(RESEND_SECONDS) == (1, ["A"])
+
+    def test_sends_nothing_new_behind_an_item_that_is_sent_again(self):
+        out = outgoing("a")
+        out.take(0.0)
+        out.take(RESEND_SECONDS)
+        out.add(Letter("b"))
+        assert out.take(RESEND_SECONDS + 0.01) == (2, [])
+        out.confirm(1, RESEND_SECONDS + 0.02)
+        assert out.take(RESEND_SECONDS + 0.03) == (2, ["b"])
+
+    def test_tells_the_last_item_also_while_it_sends_only_the_first_again(self):
+        out = outgoing("AB")
+        out.take(0.0)
+        assert out.take(RESEND_SECONDS) == (1, ["A"])
+        assert out.last == 2
+
     def test_a_restart_numbers_the_rest_anew(self):
         out = outgoing("abc")
         out.take(0.0)
@@ -81,13 +119,6 @@
         assert incoming.accept(2, ["b"]) == []
         assert incoming.seen == 0
 
-    def test_knows_when_items_before_a_number_have_not_come(self):
-        incoming = Incoming()
-        incoming.accept(1, ["a"])
-        assert not incoming.lacks(1)
-        assert not incoming.lacks(2)
-        assert incoming.lacks(3)
-
 
 class TestBoth:
     def test_over_a_link_that_loses_half_all_arrive_in_order(self):
@@ -95,7 +126,7 @@
         out, incoming, received = Outgoing(), Incoming(), []
         now = 0.0
         for number in range(200):
-            out.add(number)
+            out.add(Letter(number))
             for _ in range(3):
                 now += 0.1
                 first, items = out.take(now)
@@ -107,4 +138,4 @@
             now += MOST_RESEND_SECONDS
             received += incoming.accept(*out.take(now))
             out.confirm(incoming.seen, now)
-        assert received == list(range(200))
+        assert received == [str(number) for number in range(200)]
