Learn from the round trip when to send items again

Cause: items were sent again after a fixed 0.12 s, doubled while none was confirmed and reset by the first confirmation. A link with a queue of 0.3 s then carries each item two or three times, and every confirmation starts that anew.

Each stream now measures its round trips as in RFC 6298, never of an item that was sent again, and keeps a doubled wait until an item gets through at the first attempt. At quick links the wait stays 0.12 s.

--- a/bergamotcourse/coordination/jobs/item_stream.py
+++ b/bergamotcourse/coordination/jobs/item_stream.py
@@ -3,10 +3,7 @@
 from collections import deque
 from typing import Generic, TypeVar
 
-from bergamotcourse.coordination.jobs.lease_terms import (
-    MOST_RESEND_SECONDS,
-    RESEND_SECONDS,
-)
+from bergamotcourse.coordination.jobs.resend_timer import ResendTimer
 from bergamotcourse.protocol.task_messages import Item
 
 T = TypeVar("T", bound=Item)
@@ -25,6 +22,8 @@
         sent: Items of ``items`` that were sent at least once.
         sent_at: When the oldest was last sent, or became the oldest.
         resends: How often the oldest was sent again.
+        timer: Tells how long to wait until then.
+        timed: Number of the item whose round trip is measured, and when it was sent.
     """
 
     def __init__(self):
@@ -33,6 +32,8 @@
         self.sent = 0
         self.sent_at = 0.0
         self.resends = 0
+        self.timer = ResendTimer()
+        self.timed: tuple[int, float] | None = None
 
     def add(self, item: T) -> None:
         """Append an item."""
@@ -51,11 +52,13 @@
             self.sent = max(0, self.sent - 1)
             self.sent_at = now
             self.resends = 0
+        if self.timed is not None and self.timed[0] < self.first:
+            self.timer.learn(now - self.timed[1])
+            self.timed = None
 
     def is_late(self, now: float) -> bool:
         """Return whether items must be sent again."""
-        wait = min(RESEND_SECONDS * 2**self.resends, MOST_RESEND_SECONDS)
-        return self.sent > 0 and now - self.sent_at >= wait
+        return self.sent > 0 and now - self.sent_at >= self.timer.wait
 
     def take(self, now: float) -> tuple[int, list[T]]:
         """Return what to send now: the number of the first item, and the items.
@@ -72,12 +75,16 @@
         if not self.sent:
             self.sent_at = now
         self.sent = len(self.items)
+        if items and self.timed is None:
+            self.timed = (self.last, now)
         return first, items
 
     def _send_again(self, now: float) -> list[T]:
         """Return the oldest items, as many as may be sent again at a time."""
         self.sent_at = now
         self.resends += 1
+        self.timer.expired()
+        self.timed = None
         self.sent = 0
         size = 0
         for item in self.items:
@@ -93,6 +100,7 @@
         self.sent = 0
         self.sent_at = 0.0
         self.resends = 0
+        self.timed = None
 
 
 class Incoming(Generic[T]):
