Keep the tasks of a job together where an agent has room

Each task went to the least full agent, so a job of eight took eight messages and eight copies of its payload, and was late with any of eight upstreams. Now a task goes where the one before it went, as long as there is room; the first one still goes to the least full.

--- a/bergamotcourse/coordination/jobs/job_dispatcher.py
+++ b/bergamotcourse/coordination/jobs/job_dispatcher.py
@@ -15,7 +15,12 @@
     TaskRun,
     TaskState,
 )
-from bergamotcourse.coordination.jobs.placement import Wish, choose, choose_to_open
+from bergamotcourse.coordination.jobs.placement import (
+    Wish,
+    choose,
+    choose_to_open,
+    suits,
+)
 from bergamotcourse.coordination.jobs.policy import JobPolicy
 from bergamotcourse.coordination.jobs.rack_demand import RackDemand
 from bergamotcourse.coordination.jobs.work_estimates import WorkEstimates
@@ -279,8 +284,9 @@
 
     def _place_pending(self, job: JobRun, choices: Choices, now: float) -> bool:
         """Place the tasks of a job; false if one finds no room."""
+        link = None
         for task in job.pending():
-            link = self._choose(job, task, choices, now)
+            link = self._choose(job, task, choices, now, link)
             if link is None:
                 return False
             self._place(job, task, link, now)
@@ -288,8 +294,22 @@
         return True
 
     def _choose(
-        self, job: JobRun, task: TaskRun, choices: Choices, now: float
+        self,
+        job: JobRun,
+        task: TaskRun,
+        choices: Choices,
+        now: float,
+        last: AgentLink | None,
     ) -> AgentLink | None:
+        """Return the agent to place a task at, or ``None`` where none has room.
+
+        Args:
+            job: The job.
+            task: Its task.
+            choices: The agents at which it may be placed.
+            now: The time.
+            last: Where the task of the job before it was placed just now.
+        """
         wish = Wish(
             service=job.queue.service,
             step=task.spec,
@@ -297,10 +317,14 @@
             zone=self.zone,
             spared=self.racks.wanted(now),
         )
-        near = task.spec.data_rack
-        if not near or not self.policy.places_near_data:
-            return self._choose_anywhere(wish, choices)
-        link = self._choose_anywhere(replace(wish, rack=near), choices)
+        near = task.spec.data_rack if self.policy.places_near_data else ""
+        nearby = replace(wish, rack=near)
+        if self.policy.keeps_jobs_together and last and suits(last, nearby):
+            # One message carries both, and the payload once.
+            return last
+        link = self._choose_anywhere(nearby, choices)
+        if not near:
+            return link
         if link is None and job.may_run_away(now, self.remote_factor):
             link = self._choose_anywhere(wish, choices)
         return link
--- a/bergamotcourse/coordination/jobs/placement.py
+++ b/bergamotcourse/coordination/jobs/placement.py
@@ -50,7 +50,7 @@
     """Return the agent to place a task at, or ``None`` where none has room."""
     best, best_score = None, 0.0
     for link in links:
-        if link.name in wish.avoid or not suits(link, wish):
+        if not suits(link, wish):
             continue
         score = score_of(link, wish)
         if best is None or score < best_score:
@@ -66,15 +66,15 @@
             own, so that not all meet at the one that told of the most room.
         wish: What the task needs.
     """
-    suitable = (
-        link for link in links if link.name not in wish.avoid and suits(link, wish)
-    )
+    suitable = (link for link in links if suits(link, wish))
     drawn = itertools.islice(suitable, CANDIDATES)
     return min(drawn, key=lambda link: score_of(link, wish), default=None)
 
 
 def suits(link: AgentLink, wish: Wish) -> bool:
     """Return whether an agent may get a task now."""
+    if link.name in wish.avoid:
+        return False
     room = link.room
     needs = wish.step.needs
     if room.service != wish.service:
--- a/bergamotcourse/coordination/jobs/policy.py
+++ b/bergamotcourse/coordination/jobs/policy.py
@@ -29,6 +29,7 @@
         places_near_data: Tasks go to the rack that has their data, as long as that
             serves their job, and others leave it to them.
         keeps_to_share: An entry uses a share of the agents as long as it has room.
+        keeps_jobs_together: The tasks of a job go to one agent as far as it has room.
     """
 
     learns_estimates: bool = True
@@ -43,6 +44,7 @@
     recalls_upstreams: bool = True
     places_near_data: bool = True
     keeps_to_share: bool = True
+    keeps_jobs_together: bool = True
 
     @classmethod
     def without(cls, names: Iterable[str]) -> "JobPolicy":
