Tell an agent the payload of a job once

A placement carried its job's payload, also the second and third to the same agent. The stream is in order, so a placement of the same job as the one before it now leaves the payload out.

--- a/bergamotcourse/coordination/jobs/agent_link.py
+++ b/bergamotcourse/coordination/jobs/agent_link.py
@@ -10,6 +10,8 @@
 from dataclasses import dataclass, field
 from typing import Any
 
+from msgspec import structs
+
 from bergamotcourse.coordination.jobs.item_stream import Incoming, Outgoing
 from bergamotcourse.coordination.jobs.lease_terms import (
     OPEN_SECONDS,
@@ -49,6 +51,7 @@
         placed: The runs that have no outcome yet, with what the dispatcher keeps.
         pending: Needs of the runs in ``placed``.
         former: Runs that were placed at an earlier process of the agent.
+        last_request: The job whose payload the agent was told last in this session.
     """
 
     address: LinkAddress
@@ -71,6 +74,7 @@
     needs: dict[RunKey, Resources] = field(default_factory=dict)
     pending: Resources = NOTHING
     former: set[RunKey] = field(default_factory=set)
+    last_request: str = ""
 
     # What may be done with it.
 
@@ -147,6 +151,13 @@
         self.needs[key] = needs
         self.pending = self.pending + needs
 
+    def send(self, order: PlaceTask) -> None:
+        """Append a placement to the stream; of a job's several the first has all."""
+        if order.request == self.last_request:
+            order = structs.replace(order, payload=None)
+        self.last_request = order.request
+        self.out.add(order)
+
     def drop(self, key: RunKey) -> Any:
         """Forget a run and return its owner, or ``None``."""
         owner = self.placed.pop(key, None)
@@ -191,6 +202,7 @@
         self.echo_ms = 0
         self.over = False
         self.out = Outgoing()
+        self.last_request = ""
         self.incoming = Incoming()
         for key in self.placed:
             self.out.add(WithdrawTask(key))
--- a/bergamotcourse/coordination/jobs/agent_links.py
+++ b/bergamotcourse/coordination/jobs/agent_links.py
@@ -149,7 +149,7 @@
         now = self.timers.now()
         link.note_opening(now)
         link.add(order.key, needs, owner)
-        link.out.add(order)
+        link.send(order)
         self._mark(link)
 
     def withdraw(self, link: AgentLink, key: RunKey) -> None:
--- a/bergamotcourse/coordination/jobs/contacts.py
+++ b/bergamotcourse/coordination/jobs/contacts.py
@@ -218,7 +218,7 @@
     def _take_item(self, contact: EntryContact, item: Message) -> None:
         match item:
             case PlaceTask():
-                contact.held.append(item)
+                contact.hold(item)
             case WithdrawTask(key=key):
                 self._withdraw(contact, key)
 
--- a/bergamotcourse/coordination/jobs/entry_contact.py
+++ b/bergamotcourse/coordination/jobs/entry_contact.py
@@ -8,6 +8,8 @@
 
 from dataclasses import dataclass, field
 
+from msgspec import structs
+
 from bergamotcourse.coordination.jobs.item_stream import Incoming, Outgoing
 from bergamotcourse.coordination.jobs.lease_terms import (
     CONFIRM_SECONDS,
@@ -43,6 +45,7 @@
         told_left: The processor room that the last message left to it.
         unconfirmed_since: When the first item came that it was not told of.
         held: Runs that came with too old an echo; they wait for a later one.
+        payload: Of the last placement in this session.
     """
 
     address: LinkAddress
@@ -58,6 +61,7 @@
     told_left: int = 0
     unconfirmed_since: float | None = None
     held: list[PlaceTask] = field(default_factory=list)
+    payload: str = ""
     out: Outgoing[TaskEnded] = field(default_factory=Outgoing)
     incoming: Incoming = field(default_factory=Incoming)
 
@@ -85,6 +89,13 @@
         renews = lease_now < lease_end_of(turn)
         return renews and self.incoming.seen >= turn.last
 
+    def hold(self, order: PlaceTask) -> None:
+        """Take a placement, which waits until it may be released."""
+        if order.payload is None:
+            order = structs.replace(order, payload=self.payload)
+        self.payload = order.payload
+        self.held.append(order)
+
     def release(self) -> list[PlaceTask]:
         """Return the held runs, which are held no longer."""
         held, self.held = self.held, []
@@ -101,6 +112,7 @@
         self.lease_end = None
         self.known = False
         self.held.clear()
+        self.payload = ""
         self.unconfirmed_since = None
         self.incoming = Incoming()
         self.out.restart()
--- a/bergamotcourse/protocol/task_messages.py
+++ b/bergamotcourse/protocol/task_messages.py
@@ -29,6 +29,8 @@
 
     Attributes:
         request: The id of the job, for the log.
+        payload: ``None`` for that of the placement before it in the stream, which is of
+            the same job.
         rank: Milliseconds that the task can still wait; the least goes first.
         estimate: Seconds of work on an upstream of speed 1.
         patience: Milliseconds after which a task that did not start is returned.
@@ -36,7 +38,7 @@
 
     key: RunKey
     request: str
-    payload: str
+    payload: str | None
     needs: Resources
     rank: int
     estimate: float
@@ -44,7 +46,7 @@
 
     def size(self) -> int:
         """Return about how many bytes it has when encoded."""
-        return ITEM_BYTES + len(self.payload)
+        return ITEM_BYTES + len(self.payload or "")
 
 
 class WithdrawTask(Item, frozen=True):
--- a/bergamotcourse/tests/jobs/test_job_path.py
+++ b/bergamotcourse/tests/jobs/test_job_path.py
@@ -50,6 +50,23 @@
 
         run_fleet(main)
 
+    def test_is_told_in_full_once_to_each_agent(self):
+        """Its tasks share the payload, which is most of what an entry sends."""
+
+        async def main(fleet):
+            sent = []
+
+            def tap(sender, receiver, payload):
+                sent.append(payload.count(b"\xa30.2"))
+                return True
+
+            fleet.network.tap = tap
+            await fleet.submit("entry-1", job("a", tasks=20))
+            assert sum(sent) == 2
+            assert len(fleet.history) == 20
+
+        run_fleet(main)
+
     def test_of_the_same_id_twice_runs_once_and_both_are_answered(self):
         async def main(fleet):
             answers = []
