Give up a task under which three upstreams have crashed

Cause: a run that was lost with its upstream was placed again without end, also where its task had crashed it; nothing counted that.

Agents tell now a run whose upstream went without notice, or does not answer any more, from one that was lost otherwise; the third such run gives its task up. Health needs no change: it begins anew with each life of an upstream.

--- a/bergamotcourse/bench/replay/load_file.py
+++ b/bergamotcourse/bench/replay/load_file.py
@@ -30,6 +30,8 @@
         slack_factor: Of the objective, with ``target``.
         target: Seconds of the objective beside its part for the work.
         payload_bytes: Of the payload that each of its tasks is told.
+        crashing: Share of its jobs of which a task crashes the upstreams that run it;
+            these are not counted.
     """
 
     name: str
@@ -40,6 +42,7 @@
     slack_factor: Positive = 1.6
     target: Seconds = 0.06
     payload_bytes: Count = 1
+    crashing: Share = 0.0
 
 
 class Event(msgspec.Struct, frozen=True, forbid_unknown_fields=True, tag_field="kind"):
--- a/bergamotcourse/bench/replay/run.py
+++ b/bergamotcourse/bench/replay/run.py
@@ -12,7 +12,13 @@
 from bergamotcourse.bench.replay.tally import Outcome
 from bergamotcourse.coordination.jobs.policy import JobPolicy
 from bergamotcourse.standins.order_upstream import Behaviour
-from bergamotcourse.state.job_spec import JobId, JobQueue, JobSpec, StepSpec
+from bergamotcourse.state.job_spec import (
+    JobId,
+    JobQueue,
+    JobSpec,
+    StepSpec,
+    TaskName,
+)
 from bergamotcourse.state.resources import Resources
 from bergamotcourse.virtual.clock import run_virtual
 from bergamotcourse.virtual.job_fleet import CAPACITY, QUEUE, JobFleet
@@ -76,6 +82,9 @@
 
     async def _hand_in(self, kind: Kind, at: float) -> None:
         spec = self._make_job(kind)
+        crashes = self.rng.random() < kind.crashing
+        if crashes:
+            self.fleet.crashing.add(TaskName(f"{spec.id}.0.0.0"))
         begun = trio.current_time()
         outcome = None
         while outcome is None and trio.current_time() < begun + CALLER_SECONDS:
@@ -85,7 +94,7 @@
             outcome = (await self.fleet.submit(entry, spec, queue, left)).outcome
             if outcome is None:
                 await trio.sleep(RESEND_SECONDS)
-        if at >= 0:
+        if at >= 0 and not crashes:
             took = trio.current_time() - begun
             objective = self.queues[kind.name].objective(self._longest_task(spec))
             self.outcome.add(kind.name, at, outcome, took, objective, kind.worth)
--- a/bergamotcourse/coordination/jobs/executor.py
+++ b/bergamotcourse/coordination/jobs/executor.py
@@ -53,6 +53,7 @@
 LOOK_SECONDS = 0.5
 """Pause between two looks at an upstream that does not answer."""
 
+LEFT = "it left"
 STARTED_AGAIN = "it has started again"
 REPLACED = "another upstream at its place"
 """Why a life is over that has not said so."""
@@ -152,7 +153,7 @@
         if self.life is None:
             return
         if ends_life(self.life.report.life, gone):
-            self._end_life("it left")
+            self._end_life(LEFT)
             return
         self.log.write(
             "upstream.departure_ignored",
@@ -465,9 +466,11 @@
         silent = self.life is None or self.life.silent
         if not silent or now < over_at:
             return
+        # Of an upstream that this process has not known it is not known if it crashed.
+        outcome = Outcome.CRASHED if self.life else Outcome.LOST
         for run in self.book.all():
             if run.occupies:
-                self.book.finish(run, Outcome.LOST, "its lease lapsed")
+                self.book.finish(run, outcome, "its lease lapsed")
 
     def _take_holding(self, life: UpstreamLife, holding: Holding, number: int) -> None:
         self.reader.read(life, self.health, holding, number)
@@ -539,8 +542,9 @@
         self.log.write("upstream.gone", upstream=life.report.id, why=why)
         self.nursery.start_soon(life.port.aclose)
         self.book.return_waiting("the upstream is gone")
+        outcome = Outcome.LOST if why == LEFT else Outcome.CRASHED
         for run in self.book.all():
-            self.book.finish(run, Outcome.LOST, "the upstream is gone")
+            self.book.finish(run, outcome, "the upstream is gone")
         self.book.room_changed()
 
     def _update(self, life: UpstreamLife, report: UpstreamReport) -> None:
--- a/bergamotcourse/coordination/jobs/job_dispatcher.py
+++ b/bergamotcourse/coordination/jobs/job_dispatcher.py
@@ -47,6 +47,10 @@
 """Waiting jobs that find no room before the search ends. What has no room for the tasks
 of one may have some for smaller ones, or for those whose data is elsewhere."""
 
+MOST_CRASHES = 3
+"""Upstreams that crash under a task before it is given up: with one or two the cause
+may have been another task beside it."""
+
 REFUSAL_SECONDS = 1.0
 """Callers who were refused for want of room may come back after this."""
 
@@ -191,8 +195,14 @@
                 self.estimates.learn(job.queue.name, declared, ended.ran)
             self._task_done(job, task)
             return
-        if ended.outcome in (Outcome.FAILED, Outcome.MOVED):
+        if ended.outcome in (Outcome.FAILED, Outcome.MOVED, Outcome.CRASHED):
             task.avoid.add(link.name)
+        if ended.outcome is Outcome.CRASHED:
+            task.crashes += 1
+            if task.crashes >= MOST_CRASHES:
+                why = f"{task.crashes} upstreams crashed under {task.name}"
+                job.finish(JobOutcome.FAILED, why)
+                return
         if ended.outcome is Outcome.FAILED:
             task.failures += 1
             if task.failures >= job.queue.max_attempts:
--- a/bergamotcourse/coordination/jobs/job_run.py
+++ b/bergamotcourse/coordination/jobs/job_run.py
@@ -52,6 +52,7 @@
     Attributes:
         number: Of its last run.
         failures: Runs that ended by failure.
+        crashes: Runs during which their upstream crashed.
         avoid: Names of agents where it failed.
         where: The link to the agent of its last run, while that is placed.
         placed_at: When that run was placed.
@@ -64,6 +65,7 @@
     state: TaskState
     number: int = 0
     failures: int = 0
+    crashes: int = 0
     avoid: set[str] = field(default_factory=set)
     where: object | None = None
     placed_at: float = 0.0
--- a/bergamotcourse/standins/order_upstream.py
+++ b/bergamotcourse/standins/order_upstream.py
@@ -84,6 +84,7 @@
         clock_rate: Seconds of its clock in a second.
         incarnation: Rises with each life under one id.
         clock_began: When its clock stood at 0, on trio's clock.
+        on_start: Called with each run that it starts.
     """
 
     def __init__(
@@ -120,6 +121,7 @@
         self.draining = False
         self.reports = 0
         self.changed = trio.lowlevel.ParkingLot()
+        self.on_start: Callable[[Run], None] = lambda _run: None
 
     async def run(self) -> None:
         """Work until cancelled or down."""
@@ -202,6 +204,7 @@
         run = Run(order.key, self.id, trio.current_time(), work, work, needs)
         self.running[order.key] = run
         self.history.append(run)
+        self.on_start(run)
         return StartReply(StartVerdict.STARTED, clock)
 
     def stop(self, key: RunKey, token: int) -> bool:
--- a/bergamotcourse/virtual/job_fleet.py
+++ b/bergamotcourse/virtual/job_fleet.py
@@ -24,7 +24,13 @@
     overlaps,
 )
 from bergamotcourse.state.evacuations import Evacuations
-from bergamotcourse.state.job_spec import JobId, JobQueue, JobSpec, StepSpec
+from bergamotcourse.state.job_spec import (
+    JobId,
+    JobQueue,
+    JobSpec,
+    StepSpec,
+    TaskName,
+)
 from bergamotcourse.state.resources import Resources
 from bergamotcourse.transport.bottleneck import Bottleneck
 from bergamotcourse.transport.memory_link import MemoryNetwork
@@ -35,6 +41,12 @@
 NEEDS = Resources(3_100, 64, 0)
 REPORT_SECONDS = 1.5
 LINK_DELAY = 0.001
+CRASH_SECONDS = 0.05
+"""From the start of a task that crashes its upstream."""
+
+BACK_SECONDS = 3.0
+"""After which an upstream that was crashed by a task is back."""
+
 QUEUE_SECONDS = 0.6
 """For which payloads may wait at a limited link."""
 
@@ -259,6 +271,7 @@
         racks: Over which the upstreams are dealt out.
         zones: Over which the agents are dealt out.
         evacuations: In force; each entry that starts knows them.
+        crashing: Tasks that crash each upstream that starts them.
     """
 
     def __init__(
@@ -285,6 +298,7 @@
         self.work_of = work_of
         self.boots = 0
         self.tells_incarnations = True
+        self.crashing: set[TaskName] = set()
         self.lives: dict[str, OrderUpstream] = {}
         self.upstreams: dict[str, OrderUpstream] = {}
         self.entries: dict[str, EntryProcess] = {}
@@ -373,6 +387,7 @@
             incarnation if self.tells_incarnations else 0,
             clock_began,
         )
+        upstream.on_start = lambda run: self._run_started(agent, run)
         self.lives[name] = self.upstreams[agent] = upstream
         self.nursery.start_soon(upstream.run)
         return upstream
@@ -389,6 +404,20 @@
         number = int(agent.rpartition("-")[2])
         return f"zone-{(number - 1) % self.zones + 1}"
 
+    def _run_started(self, agent: str, run: Run) -> None:
+        if run.key.task in self.crashing:
+            self.nursery.start_soon(self._crash, agent, self.upstreams[agent])
+
+    async def _crash(self, agent: str, upstream: OrderUpstream) -> None:
+        """Crash an upstream, which is back after some seconds."""
+        await trio.sleep(CRASH_SECONDS)
+        if upstream.down:
+            return
+        upstream.crash()
+        await trio.sleep(BACK_SECONDS)
+        if self.upstreams[agent] is upstream:
+            self.start_upstream(agent)
+
     def rack_of(self, agent: str) -> str:
         """Return the rack of an agent; they are dealt out in turn."""
         number = int(agent.rpartition("-")[2]) if self.racks > 1 else 1
