Tell at once of a capacity that has changed, and wait for one that shrank

Cause: a worker's report with another capacity was taken by its agent and told to nobody: entries heard of more room with the next heartbeat, up to 2.2 s later, and a job that fits only the former size was refused as one that no upstream is large enough for. The same word was false while an upstream on trial offers less.

An agent now tells a changed capacity at once and starts what fits; an entry remembers the most that an upstream has had, and a job that fits that waits as long as it can.

--- a/bergamotcourse/coordination/jobs/agent_link.py
+++ b/bergamotcourse/coordination/jobs/agent_link.py
@@ -44,6 +44,8 @@
         heard_at: When it last sent something.
         next: Seconds after which it sends again, as it said then.
         echo_ms: The agent's clock in its last message.
+        largest: The most capacity that its upstream has told; what it has now may have
+            shrunk, or be held back for a trial, and come back.
         over: The runs of this session were given up here; it is not used any more.
         opened_at: When the first run was placed without contact; ``None`` if there was
             contact, or an answer since.
@@ -68,6 +70,7 @@
     opened_at: float | None = None
     unanswered: bool = False
     room: AgentRoom | None = None
+    largest: Resources = NOTHING
     out: Outgoing[PlaceTask | WithdrawTask] = field(default_factory=Outgoing)
     incoming: Incoming[TaskEnded] = field(default_factory=Incoming)
     placed: dict[RunKey, Any] = field(default_factory=dict)
@@ -176,10 +179,16 @@
             # Datagrams overtake each other; an older one tells an older load.
             self.echo_ms = turn.sent_ms
             self.next = turn.next_ms / 1000
-            self.room = turn.room
+            self._note_room(turn.room)
         self.out.confirm(turn.seen, now)
         return self.incoming.accept(turn.first, turn.items)
 
+    def _note_room(self, room: AgentRoom) -> None:
+        if self.room is not None and room.service != self.room.service:
+            self.largest = NOTHING
+        self.largest = self.largest | room.capacity
+        self.room = room
+
     def take_back(self) -> list[RunKey]:
         """Withdraw the runs that were left unanswered, and return them.
 
--- a/bergamotcourse/coordination/jobs/executor.py
+++ b/bergamotcourse/coordination/jobs/executor.py
@@ -549,12 +549,21 @@
 
     def _update(self, life: UpstreamLife, report: UpstreamReport) -> None:
         began_draining = report.draining and not life.report.draining
+        capacity = life.report.capacity
         life.report = report
         life.hear_clock(report.clock, self.timers.lease_now())
         if began_draining:
             self.log.write("upstream.draining", upstream=report.id)
             self.book.return_waiting("the upstream is draining")
             self.book.room_changed()
+        if report.capacity != capacity:
+            self.log.write(
+                "upstream.capacity",
+                upstream=report.id,
+                cpu=report.capacity.cpu,
+                former_cpu=capacity.cpu,
+            )
+            self.pump()
 
     def _ms_since(self, time: float) -> int:
         return round((self.timers.now() - time) * 1000)
--- a/bergamotcourse/coordination/jobs/job_order.py
+++ b/bergamotcourse/coordination/jobs/job_order.py
@@ -60,9 +60,9 @@
 
 
 def can_ever_run(job: JobRun, step, links: list[AgentLink]) -> bool:
-    """Return whether some upstream could run a task of a step when empty."""
+    """Return whether some upstream could run a task of a step when empty and sound."""
     return any(
-        step.needs.fits(link.room.capacity)
+        step.needs.fits(link.largest)
         and (not step.label or step.label in link.room.labels)
         for link in links
     )
--- a/bergamotcourse/platform/reports.py
+++ b/bergamotcourse/platform/reports.py
@@ -8,6 +8,7 @@
 from bergamotcourse.ids import ServiceName
 from bergamotcourse.platform.documents import decode_departure, decode_report
 from bergamotcourse.protocol.upstream_orders import LifeKey, UpstreamReport
+from bergamotcourse.state.resources import Resources
 from bergamotcourse.transport.http import HttpRequest, HttpResponse
 from bergamotcourse.transport.http_json import json_answer
 from bergamotcourse.transport.http_problem import plain_problem
@@ -73,10 +74,11 @@
         self.executor.upstream_left(life)
         return json_answer({})
 
-    def _known(self) -> tuple[LifeKey | None, str | None]:
-        """Return what others are told: the life that is here, and what is refused."""
-        life = self.executor.life
-        return life.report.life if life else None, self.executor.refusal()
+    def _known(self) -> tuple[LifeKey | None, str | None, Resources]:
+        """Return what others are told: the life here, what is refused, the capacity."""
+        executor = self.executor
+        life = executor.life.report.life if executor.life else None
+        return life, executor.refusal(), executor.capacity()
 
     def _check_service(self, report: UpstreamReport) -> None:
         """Refuse the report of a service that is not this machine's.
--- a/bergamotcourse/standins/order_upstream.py
+++ b/bergamotcourse/standins/order_upstream.py
@@ -84,6 +84,7 @@
         clock_rate: Seconds of its clock in a second.
         incarnation: Rises with each life under one id.
         clock_began: When its clock stood at 0, on trio's clock.
+        guards: Whether it refuses what its capacity has no room for.
         on_start: Called with each run that it starts.
     """
 
@@ -121,6 +122,7 @@
         self.draining = False
         self.reports = 0
         self.changed = trio.lowlevel.ParkingLot()
+        self.guards = True
         self.on_start: Callable[[Run], None] = lambda _run: None
 
     async def run(self) -> None:
@@ -199,7 +201,7 @@
         if order.key.number <= self.highest.get(order.key.task, 0):
             return StartReply(StartVerdict.STALE, clock)
         needs, work = self.work_of(order.payload)
-        if not (self.used() + needs).fits(self.capacity):
+        if self.guards and not (self.used() + needs).fits(self.capacity):
             return StartReply(StartVerdict.NO_ROOM, clock)
         run = Run(order.key, self.id, trio.current_time(), work, work, needs)
         self.running[order.key] = run
--- a/bergamotcourse/state/resources.py
+++ b/bergamotcourse/state/resources.py
@@ -32,6 +32,14 @@
             self.accelerators - other.accelerators,
         )
 
+    def __or__(self, other: "Resources") -> "Resources":
+        """Return the larger amount of each kind."""
+        return Resources(
+            max(self.cpu, other.cpu),
+            max(self.memory, other.memory),
+            max(self.accelerators, other.accelerators),
+        )
+
     def fits(self, room: "Resources") -> bool:
         """Return whether this amount is no more than ``room``."""
         return (
--- a/bergamotcourse/tests/platform/test_reports.py
+++ b/bergamotcourse/tests/platform/test_reports.py
@@ -10,6 +10,7 @@
 from bergamotcourse.coordination.jobs.upstream_life import UpstreamLife
 from bergamotcourse.platform.reports import ReportsFront
 from bergamotcourse.protocol.upstream_orders import LifeKey
+from bergamotcourse.state.resources import NOTHING
 from bergamotcourse.tests.platform.test_documents import BEAT
 from bergamotcourse.transport.http import HttpRequest
 
@@ -28,10 +29,14 @@
     def refusal(self):
         return None
 
+    def capacity(self):
+        return self.life.report.capacity if self.life else NOTHING
+
     def hear_upstream(self, report):
         self.reports.append(report)
         if self.life is None or self.life.report.life != report.life:
             self.life = UpstreamLife(report, None, 0.0, 0.0)
+        self.life.report = report
 
     def upstream_left(self, life):
         self.left.append(life)
@@ -121,6 +126,13 @@
         assert agent.report(encoded()) == 200
         assert [report.id for report in agent.taken.reports] == ["i-1"]
 
+    def test_a_capacity_that_changes_is_told(self):
+        agent = Agent()
+        agent.report(encoded())
+        capacity = {**BEAT["capacity"], "cpu": 1}
+        agent.report(encoded(capacity=capacity, sequence=1000))
+        assert agent.changes == 2
+
     @pytest.mark.parametrize("body", FOREIGN.values(), ids=FOREIGN.keys())
     def test_of_another_writer_is_skipped_with_one_line(self, body):
         agent = Agent()
--- a/bergamotcourse/virtual/job_fleet.py
+++ b/bergamotcourse/virtual/job_fleet.py
@@ -197,9 +197,9 @@
             upstream = self.fleet.upstreams[self.name]
             await self.pause.passed()
             if not upstream.down and self.name not in self.fleet.cut_upstreams:
-                before = self.executor.refusal()
+                before = self.executor.refusal(), self.executor.capacity()
                 self.executor.hear_upstream(upstream.report())
-                if self.executor.refusal() != before:
+                if before != (self.executor.refusal(), self.executor.capacity()):
                     self.contacts.tell_all()
             await trio.sleep(self.fleet.report_seconds)
 
