Name placement requests and reports by the field's terms, and cut stories of values

Wish is a PlacementRequest, hear_upstream and upstream_left take a report and a departure, spared racks are reserved. No change of behaviour.

--- a/bergamotcourse/coordination/jobs/agent_link.py
+++ b/bergamotcourse/coordination/jobs/agent_link.py
@@ -1,7 +1,7 @@
 """What an entry knows of one agent, and whether it may place tasks there.
 
-Load it answers: hundreds of agents, of which an entry uses some dozens at a time. With
-those it is in contact: they are heard several times a second, and what is placed there
+Of hundreds of agents an entry uses some dozens at a time. With those it is in contact:
+they are heard several times a second, and what is placed there
 starts at once. The others are heard rarely. A run that is placed at one of these starts
 only once a message of the agent has come after it and was echoed, so until then it can
 be taken back with certainty.
--- a/bergamotcourse/coordination/jobs/contacts.py
+++ b/bergamotcourse/coordination/jobs/contacts.py
@@ -38,9 +38,8 @@
 known."""
 
 TOLD_OF_ROOM = 2
-"""Entries told of room that gets free. Told to all of eight, each free slot drew a task
-from most of them, and two of five placements came back; the others hear of it with the
-next heartbeat."""
+"""Entries told of room that gets free: told to all, each free slot would draw a task
+from most of them. The others hear of it with the next heartbeat."""
 
 TICK_SECONDS = 0.05
 """Between two looks at what is due; below half a heartbeat."""
--- a/bergamotcourse/coordination/jobs/entry_contact.py
+++ b/bergamotcourse/coordination/jobs/entry_contact.py
@@ -1,6 +1,6 @@
 """What an agent knows of one entry, and when that entry is owed a message.
 
-Load it answers: many more entries than have tasks here at a time. An entry with tasks
+Many more entries are known than have tasks here at a time. An entry with tasks
 here, or that waits for room, hears often; one that had some of late, a little less so;
 all others share a fixed number of messages, so that they cost the same however many
 they are.
--- a/bergamotcourse/coordination/jobs/executor.py
+++ b/bergamotcourse/coordination/jobs/executor.py
@@ -106,7 +106,7 @@
 
     # What the agent is told.
 
-    def hear_upstream(self, report: UpstreamReport) -> bool:
+    def take_report(self, report: UpstreamReport) -> bool:
         """Take an upstream's report of itself; false if it is of a former life."""
         kind = self.lives.judge(self.life and self.life.report, report)
         match kind:
@@ -148,7 +148,7 @@
             replace(report, clock=answer.clock, sequence=0, incarnation=incarnation)
         )
 
-    def upstream_left(self, gone: LifeKey) -> None:
+    def take_departure(self, gone: LifeKey) -> None:
         """Take the planned end of an upstream."""
         if self.life is None:
             return
@@ -551,7 +551,7 @@
         began_draining = report.draining and not life.report.draining
         capacity = life.report.capacity
         life.report = report
-        life.hear_clock(report.clock, self.timers.lease_now())
+        life.note_clock(report.clock, self.timers.lease_now())
         if began_draining:
             self.log.write("upstream.draining", upstream=report.id)
             self.book.return_waiting("the upstream is draining")
--- a/bergamotcourse/coordination/jobs/job_dispatcher.py
+++ b/bergamotcourse/coordination/jobs/job_dispatcher.py
@@ -16,7 +16,7 @@
     TaskState,
 )
 from bergamotcourse.coordination.jobs.placement import (
-    Wish,
+    PlacementRequest,
     choose,
     choose_to_open,
     suits,
@@ -320,15 +320,15 @@
             now: The time.
             last: Where the task of the job before it was placed just now.
         """
-        wish = Wish(
+        request = PlacementRequest(
             service=job.queue.service,
             step=task.spec,
             avoid=frozenset(task.avoid),
             zone=self.zone,
-            spared=self.racks.wanted(now),
+            reserved=self.racks.wanted(now),
         )
         near = task.spec.data_rack if self.policy.places_near_data else ""
-        nearby = replace(wish, rack=near)
+        nearby = replace(request, rack=near)
         if self.policy.keeps_jobs_together and last and suits(last, nearby):
             # One message carries both, and the payload once.
             return last
@@ -336,22 +336,26 @@
         if not near:
             return link
         if link is None and job.may_run_away(now, self.remote_factor):
-            link = self._choose_anywhere(wish, choices)
+            link = self._choose_anywhere(request, choices)
         return link
 
-    def _choose_anywhere(self, wish: Wish, choices: Choices) -> AgentLink | None:
-        link = self._choose_for(wish, choices)
-        if link is None and wish.avoid:
+    def _choose_anywhere(
+        self, request: PlacementRequest, choices: Choices
+    ) -> AgentLink | None:
+        link = self._choose_for(request, choices)
+        if link is None and request.avoid:
             # Where it failed everywhere, it is tried anywhere.
-            link = self._choose_for(replace(wish, avoid=frozenset()), choices)
+            link = self._choose_for(replace(request, avoid=frozenset()), choices)
         return link
 
-    def _choose_for(self, wish: Wish, choices: Choices) -> AgentLink | None:
+    def _choose_for(
+        self, request: PlacementRequest, choices: Choices
+    ) -> AgentLink | None:
         for in_contact, quiet in choices.in_turn():
-            link = choose(in_contact, wish)
+            link = choose(in_contact, request)
             if link is not None:
                 return link
-            link = choose_to_open(quiet, wish)
+            link = choose_to_open(quiet, request)
             if link is not None:
                 # The next tasks share the exchange that gives contact.
                 quiet.remove(link)
--- a/bergamotcourse/coordination/jobs/job_order.py
+++ b/bergamotcourse/coordination/jobs/job_order.py
@@ -1,6 +1,6 @@
 """Which waiting job goes first, and which is refused at once: decisions alone.
 
-Load it answers: bursts above what the upstreams can do. Jobs that can still be in time
+Under more load than the upstreams can carry, jobs that can still be in time
 go by the moment at which their work must begin, so short jobs with little time pass
 long ones that can wait; jobs that can only be late go behind all of these.
 """
--- a/bergamotcourse/coordination/jobs/job_run.py
+++ b/bergamotcourse/coordination/jobs/job_run.py
@@ -17,12 +17,9 @@
 to give up sooner would end jobs that are in time."""
 
 OFFER_SHARE = 0.35
-"""Share of the time to spare that a job may wait before its first task is placed.
-Replayed with bursts above what the upstreams can do: at 0.15, 0.25, 0.35 and 0.5 the
-worth earned is the same (0.854, 0.849, 0.855, 0.853; standard error of the differences
-0.007), so the caller decides. At 0.5 a refusal is told after 160 ms and 2.3% are late,
-at 0.35 after 112 ms and 1.5%, with as many in time; below that fewer are. At 1.0 the
-worth is 0.04 lower: those who waited longest are late all the same."""
+"""Share of the time to spare that a job may wait before its first task is placed: with
+less, jobs are refused that could be in time; with more, callers wait longer for a
+refusal, and those who waited longest are late all the same."""
 
 
 class JobOutcome(Enum):
--- a/bergamotcourse/coordination/jobs/order_giver.py
+++ b/bergamotcourse/coordination/jobs/order_giver.py
@@ -70,7 +70,7 @@
                 until = life.renew(self.timers.lease_now())
                 order = StartOrder(run.key, run.order.payload, until)
             reply = await self._start_once(life, order, attempt)
-            life.hear_clock(reply.clock, self.timers.lease_now())
+            life.note_clock(reply.clock, self.timers.lease_now())
             if reply.verdict is StartVerdict.STARTED:
                 return reply.verdict
             if reply.verdict is not StartVerdict.UNKNOWN:
@@ -112,7 +112,7 @@
         answer = await life.port.hold(noted, until, wait, timeout)
         if isinstance(answer, Holding):
             life.told = noted
-            life.hear_clock(answer.clock, self.timers.lease_now())
+            life.note_clock(answer.clock, self.timers.lease_now())
         elif answer is HoldFailure.NO_ANSWER:
             self.lossy_until = self.timers.now() + LOSSY_SECONDS
         return answer
--- a/bergamotcourse/coordination/jobs/placement.py
+++ b/bergamotcourse/coordination/jobs/placement.py
@@ -18,7 +18,7 @@
 """Prefers the own zone among equals: a message to another costs bytes between zones."""
 
 
-SPARED_WEIGHT = 1.0
+RESERVED_WEIGHT = 1.0
 """An upstream in a wanted rack comes after all others: a full one has fullness 1."""
 
 CANDIDATES = 4
@@ -28,14 +28,14 @@
 
 
 @dataclass(frozen=True)
-class Wish:
+class PlacementRequest:
     """What a task needs of an agent.
 
     Attributes:
         avoid: Names of agents where it failed.
         zone: Where its entry is.
         rack: Where it must run; empty for anywhere.
-        spared: Racks left to tasks whose data is there, while others have room.
+        reserved: Racks left to tasks whose data is there, while others have room.
     """
 
     service: str
@@ -43,55 +43,57 @@
     avoid: frozenset[str]
     zone: str
     rack: str = ""
-    spared: frozenset[str] = frozenset()
+    reserved: frozenset[str] = frozenset()
 
 
-def choose(links: list[AgentLink], wish: Wish) -> AgentLink | None:
+def choose(links: list[AgentLink], request: PlacementRequest) -> AgentLink | None:
     """Return the agent to place a task at, or ``None`` where none has room."""
     best, best_score = None, 0.0
     for link in links:
-        if not suits(link, wish):
+        if not suits(link, request):
             continue
-        score = score_of(link, wish)
+        score = score_of(link, request)
         if best is None or score < best_score:
             best, best_score = link, score
     return best
 
 
-def choose_to_open(links: list[AgentLink], wish: Wish) -> AgentLink | None:
+def choose_to_open(
+    links: list[AgentLink], request: PlacementRequest
+) -> AgentLink | None:
     """Return the agent without contact to place a task at, or ``None``.
 
     Args:
         links: The agents, the first to be used first; each entry has an order of its
             own, so that not all meet at the one that told of the most room.
-        wish: What the task needs.
+        request: What the task needs.
     """
-    suitable = (link for link in links if suits(link, wish))
+    suitable = (link for link in links if suits(link, request))
     drawn = itertools.islice(suitable, CANDIDATES)
-    return min(drawn, key=lambda link: score_of(link, wish), default=None)
+    return min(drawn, key=lambda link: score_of(link, request), default=None)
 
 
-def suits(link: AgentLink, wish: Wish) -> bool:
+def suits(link: AgentLink, request: PlacementRequest) -> bool:
     """Return whether an agent may get a task now."""
-    if link.name in wish.avoid:
+    if link.name in request.avoid:
         return False
     room = link.room
-    needs = wish.step.needs
-    if room.service != wish.service:
+    needs = request.step.needs
+    if room.service != request.service:
         return False
-    if wish.step.label and wish.step.label not in room.labels:
+    if request.step.label and request.step.label not in room.labels:
         return False
-    if wish.rack and wish.rack not in room.labels:
+    if request.rack and request.rack not in room.labels:
         return False
     if needs.cpu > room.capacity.cpu - link.load_cpu():
         return False
     return needs.fits(link.free())
 
 
-def score_of(link: AgentLink, wish: Wish) -> float:
+def score_of(link: AgentLink, request: PlacementRequest) -> float:
     """Return how badly an agent suits a task; less is better."""
     capacity = max(1, link.room.capacity.cpu)
-    fullness = (link.load_cpu() + wish.step.needs.cpu) / capacity
-    far = FAR_WEIGHT if link.zone != wish.zone else 0.0
-    spared = not wish.rack and not wish.spared.isdisjoint(link.room.labels)
-    return fullness + far + spared * SPARED_WEIGHT
+    fullness = (link.load_cpu() + request.step.needs.cpu) / capacity
+    far = FAR_WEIGHT if link.zone != request.zone else 0.0
+    reserved = not request.rack and not request.reserved.isdisjoint(link.room.labels)
+    return fullness + far + reserved * RESERVED_WEIGHT
--- a/bergamotcourse/coordination/jobs/store_watch.py
+++ b/bergamotcourse/coordination/jobs/store_watch.py
@@ -19,7 +19,7 @@
 T = TypeVar("T")
 
 CALL_SECONDS = 1.0
-"""For a call to the store that waits for nothing; 250 times its usual answer."""
+"""For a call to the store that waits for nothing."""
 
 WAIT_SECONDS = 0.8
 """A call for changes waits so long: a connection that died without a sign then costs
--- a/bergamotcourse/coordination/jobs/upstream_health.py
+++ b/bergamotcourse/coordination/jobs/upstream_health.py
@@ -1,10 +1,10 @@
 """Whether an upstream fails, stalls or delays what it runs, by ends and progress.
 
-Load it answers: an upstream that fails all its tasks at once ends them sooner than
-others, looks free, and draws ever more of them; one that stands still or has turned
-slow holds its tasks until their jobs are lost. One bad end says nothing, as tasks fail
-by their own fault and declared times are far off; so several in a row are needed, or
-many runs that are slow at once. A trial brings the upstream back.
+An upstream that fails all its tasks at once ends them sooner than others, looks free,
+and draws ever more of them; one that stands still or has turned slow holds its tasks
+until their jobs are lost. One bad end says nothing, as tasks fail by their own fault
+and declared times are far off; so several in a row are needed, or many runs that are
+slow at once. A trial brings the upstream back.
 """
 
 import math
@@ -18,8 +18,7 @@
 
 FAILING_SHARE = 0.3
 """Share of failures that puts an upstream on trial: reached by three in a row, or where
-a third of all tasks fail. Where 1 task in 500 fails by its own fault, three in a row by
-chance come once in 10^8 runs."""
+a third of all tasks fail."""
 
 TRIAL_WEIGHT = 0.4
 """Of the end of a task on trial in that share."""
@@ -31,8 +30,7 @@
 """An upstream on trial gets one task each so long, until one ends well."""
 
 SPEED_WEIGHT = 0.05
-"""Of an end in the average of speeds: declared times are off by 40%, so fifty ends give
-the speed to 10%."""
+"""Of an end in the average of speeds; declared times are far off one by one."""
 
 LEAST_SLOWNESS = 0.3
 MOST_SLOWNESS = 20.0
@@ -45,18 +43,16 @@
 """Running tasks by which the present speed is told."""
 
 RATIO_DEVIATION = 0.44
-"""Standard deviation of the logarithm of the time taken over the time declared, of
-6,000 tasks on sound upstreams: one in ten takes 1.8 times as long, one in a hundred
-three times."""
+"""Standard deviation of the logarithm of the time taken over the time declared, on
+sound upstreams."""
 
 RUNNING_BIAS = 0.2
 """By how much the mean of that logarithm is higher among the tasks that run at a
 moment: those that take long are seen running more often."""
 
 CERTAINTY = 4.0
-"""Standard deviations above the usual at which an upstream counts as slow. At 2.5 times
-the usual for the median of three tasks, eleven sound upstreams came on trial five times
-in half a minute, at ten looks a second; here one look in 30,000 does it."""
+"""Standard deviations above the usual at which an upstream counts as slow; with fewer,
+sound upstreams would come on trial by chance."""
 
 LEAST_PROGRESS = 0.03
 """Progress by which the speed of a run is told: it is given in hundredths."""
--- a/bergamotcourse/coordination/jobs/upstream_life.py
+++ b/bergamotcourse/coordination/jobs/upstream_life.py
@@ -64,7 +64,7 @@
         self.silent = False
         return was_silent
 
-    def hear_clock(self, clock: float | None, now: float) -> None:
+    def note_clock(self, clock: float | None, now: float) -> None:
         """Take the upstream's clock from an answer."""
         if clock is not None:
             self.clock_lead = clock - now
--- a/bergamotcourse/tests/jobs/test_crashing_tasks.py
+++ b/bergamotcourse/tests/jobs/test_crashing_tasks.py
@@ -102,7 +102,7 @@
         life = fleet.upstreams[agent]
         life.crash()
         gone = LifeKey(life.id, life.incarnation)
-        fleet.agents[agent].executor.upstream_left(gone)
+        fleet.agents[agent].executor.take_departure(gone)
 
     def test_more_of_them_are_in_time_than_if_it_was_tried_on(self, monkeypatch):
         load = read_load(str(LOAD)).ok
--- a/bergamotcourse/tests/jobs/test_placement.py
+++ b/bergamotcourse/tests/jobs/test_placement.py
@@ -1,5 +1,5 @@
 from bergamotcourse.coordination.jobs.agent_link import AgentLink
-from bergamotcourse.coordination.jobs.placement import Wish, choose
+from bergamotcourse.coordination.jobs.placement import PlacementRequest, choose
 from bergamotcourse.ids import LinkAddress
 from bergamotcourse.protocol.task_messages import AgentRoom
 from bergamotcourse.protocol.upstream_orders import RunKey
@@ -23,12 +23,14 @@
     return link
 
 
-def make_wish(avoid=(), zone="north", label=""):
-    return Wish("votes", StepSpec(1, NEEDS, 0.2, (), label), frozenset(avoid), zone)
+def make_request(avoid=(), zone="north", label=""):
+    return PlacementRequest(
+        "votes", StepSpec(1, NEEDS, 0.2, (), label), frozenset(avoid), zone
+    )
 
 
-def chosen(links, **wish):
-    link = choose(links, make_wish(**wish))
+def chosen(links, **request):
+    link = choose(links, make_request(**request))
     return link and link.name
 
 
--- a/bergamotcourse/tests/jobs/test_upstream_log.py
+++ b/bergamotcourse/tests/jobs/test_upstream_log.py
@@ -13,7 +13,7 @@
         async def main(fleet):
             executor = fleet.agents["agent-1"].executor
             late = replace(executor.life.report, sequence=0, draining=True)
-            executor.hear_upstream(late)
+            executor.take_report(late)
             [line] = fleet.logged("upstream.report_old")
             assert (line["sequence"], line["last_sequence"]) == (0, 1)
             assert line["draining"]
--- a/bergamotcourse/tests/jobs/test_upstream_restart.py
+++ b/bergamotcourse/tests/jobs/test_upstream_restart.py
@@ -104,7 +104,7 @@
             await restart(fleet)
             await trio.sleep(REPORT_SECONDS)
             executor = fleet.agents["agent-1"].executor
-            assert not executor.hear_upstream(late)
+            assert not executor.take_report(late)
             assert executor.life.report.incarnation == late.incarnation + 1
 
         run_fleet(main)
@@ -115,9 +115,9 @@
             await restart(fleet)
             await trio.sleep(REPORT_SECONDS)
             executor = fleet.agents["agent-1"].executor
-            executor.upstream_left(former)
+            executor.take_departure(former)
             assert executor.refusal() is None
-            executor.upstream_left(executor.life.report.life)
+            executor.take_departure(executor.life.report.life)
             assert executor.refusal() == "no upstream"
 
         run_fleet(main)
@@ -127,7 +127,7 @@
             upstream = fleet.upstreams["agent-1"]
             upstream.crash()
             executor = fleet.agents["agent-1"].executor
-            executor.upstream_left(LifeKey(upstream.id, Incarnation(0)))
+            executor.take_departure(LifeKey(upstream.id, Incarnation(0)))
             assert executor.refusal() == "no upstream"
             fleet.restart_upstream("agent-1")
             await trio.sleep(REPORT_SECONDS)
