Evacuate zones in the soak, and check where work starts then

The processes of such a soak lie in two zones, which are evacuated and taken back in turn for up to 9 s beside all other faults. Nothing may start in one later than 5 s after it was evacuated, less the time in which the store refuses all calls.

--- a/bergamotcourse/standins/order_upstream.py
+++ b/bergamotcourse/standins/order_upstream.py
@@ -42,6 +42,7 @@
         work: Seconds of work left.
         stop_at: When an ordered stop takes effect.
         leaving_for: Seconds at its start since its agent knew that the upstream leaves.
+        zone: Where it runs; empty where nobody has noted it.
     """
 
     key: RunKey
@@ -54,6 +55,7 @@
     ended_at: float | None = None
     kind: EndKind | None = None
     leaving_for: float = 0.0
+    zone: str = ""
 
 
 @dataclass
--- a/bergamotcourse/tests/platform/soak/__main__.py
+++ b/bergamotcourse/tests/platform/soak/__main__.py
@@ -17,6 +17,7 @@
 @click.option("--seconds", default=10.0, help="How long each throws faults.")
 @click.option("--jobs", default=3, help="How many run at a time.")
 @click.option("--keeps-ids", is_flag=True, help="Workers start again under their id.")
+@click.option("--evacuates", is_flag=True, help="Zones are evacuated in turn.")
 @click.option("--keep", type=click.Path(path_type=Path), help="Where logs are kept.")
 def main(
     seeds: int,
@@ -24,6 +25,7 @@
     seconds: float,
     jobs: int,
     keeps_ids: bool,
+    evacuates: bool,
     keep: Path | None,
 ):
     """Throw random faults at the real programs, and check their promises."""
@@ -31,16 +33,17 @@
     with tempfile.TemporaryDirectory() as folder:
         numbers = range(first, first + seeds)
         place = keep or Path(folder)
-        results = trio.run(run_all, numbers, seconds, jobs, keeps_ids, place)
+        shape = (keeps_ids, evacuates)
+        results = trio.run(run_all, numbers, seconds, jobs, shape, place)
     faulty = [result.seed for result in results if result.violations]
     click.echo(f"{len(results)} soaks, with violations: {faulty or 'none'}")
     sys.exit(bool(faulty))
 
 
 async def run_all(
-    numbers, seconds: float, jobs: int, keeps_ids: bool, folder: Path
+    numbers, seconds: float, jobs: int, shape: tuple[bool, bool], folder: Path
 ) -> list[Result]:
-    """Run the soaks of some seeds, some at a time."""
+    """Run the soaks of some seeds, some at a time; ``shape`` is passed to each."""
     results: list[Result] = []
     limit = trio.CapacityLimiter(jobs)
 
@@ -48,7 +51,7 @@
         async with limit:
             place = folder / str(seed)
             place.mkdir(parents=True)
-            result = await run_soak(seed, seconds, place, keeps_ids)
+            result = await run_soak(seed, seconds, place, *shape)
         results.append(result)
         click.echo(f"seed {seed}: {result.summary}")
         for line in result.violations:
--- a/bergamotcourse/tests/platform/soak/faults.py
+++ b/bergamotcourse/tests/platform/soak/faults.py
@@ -10,7 +10,12 @@
 from bergamotcourse.tests.platform.cluster import Node, make_route
 from bergamotcourse.tests.platform.soak.proxied_cluster import ProxiedCluster
 from bergamotcourse.tests.platform.soak.proxy import Direction, Proxy
-from bergamotcourse.tests.platform.soak.records import Harm, Records
+from bergamotcourse.tests.platform.soak.records import (
+    Evacuation,
+    Harm,
+    Records,
+    StoreOutage,
+)
 from bergamotcourse.tests.platform.soak.verdict import LEAVING_SECONDS
 
 SERIES = 3
@@ -22,6 +27,7 @@
 
 PAUSE_SECONDS = (0.05, 1.0)
 SECONDS = (0.05, 2.5)
+EVACUATED_FOR = (0.5, 9.0)
 DELAY_SECONDS = (0.01, 0.4)
 DRIFT = (0.98, 1.02)
 STOP_SECONDS = 8.0
@@ -37,6 +43,7 @@
     Attributes:
         busy: The processes that a series of faults holds.
         keeps_ids: Workers start again under the id that they had.
+        evacuates: Zones are evacuated and taken back.
     """
 
     def __init__(
@@ -45,8 +52,10 @@
         records: Records,
         rng: random.Random,
         keeps_ids: bool = False,
+        evacuates: bool = False,
     ):
         self.keeps_ids = keeps_ids
+        self.evacuates = evacuates
         self.cluster = cluster
         self.records = records
         self.rng = rng
@@ -70,6 +79,8 @@
         """Throw faults for so long, and return when all are over."""
         ends_at = trio.current_time() + seconds
         async with trio.open_nursery() as nursery:
+            if self.evacuates:
+                nursery.start_soon(self._evacuate_in_turn, ends_at)
             for _ in range(SERIES):
                 rng = random.Random(self.rng.getrandbits(64))
                 nursery.start_soon(self._throw, ends_at, rng)
@@ -193,8 +204,10 @@
     async def _disturb_store(self, rng: random.Random) -> None:
         rows = self.cluster.rows
         rows.status = rng.choice((503, 429, 500))
+        begun_at = trio.current_time()
         await trio.sleep(rng.uniform(*SECONDS))
         rows.status = 200
+        self.records.outages.append(StoreOutage(begun_at, trio.current_time()))
 
     # Workers.
 
@@ -230,7 +243,21 @@
         worker.begin_life(self.cluster.make_upstream(rate, again))
         self.cluster.nursery.start_soon(worker.upstream.run)
 
-    # The configuration.
+    # The configuration, and the zones.
+
+    async def _evacuate_in_turn(self, ends_at: float) -> None:
+        """Evacuate one zone after the other, some for longer than it may take."""
+        rng = random.Random(self.rng.getrandbits(64))
+        while trio.current_time() < ends_at:
+            zone = rng.choice(self.cluster.zones)
+            begun_at = trio.current_time()
+            self.records.count("evacuate")
+            self.cluster.evacuate(zone)
+            await trio.sleep(rng.uniform(*EVACUATED_FOR))
+            self.cluster.take_back(zone)
+            evacuation = Evacuation(zone, begun_at, trio.current_time())
+            self.records.evacuations.append(evacuation)
+            await trio.sleep(rng.uniform(*PAUSE_SECONDS))
 
     async def _configure(self, rng: random.Random) -> None:
         """Change the configuration several times in quick succession."""
--- a/bergamotcourse/tests/platform/soak/records.py
+++ b/bergamotcourse/tests/platform/soak/records.py
@@ -42,10 +42,29 @@
     ended_at: float
 
 
+@dataclass(frozen=True)
+class Evacuation:
+    """A zone in which nothing was to start; times in seconds of the soak's clock."""
+
+    zone: str
+    begun_at: float
+    ended_at: float
+
+
+@dataclass(frozen=True)
+class StoreOutage:
+    """A time in which the store refused all calls."""
+
+    begun_at: float
+    ended_at: float
+
+
 @dataclass
 class Records:
     """All that a soak noted."""
 
+    evacuations: list[Evacuation] = field(default_factory=list)
+    outages: list[StoreOutage] = field(default_factory=list)
     attempts: list[Attempt] = field(default_factory=list)
     harms: list[Harm] = field(default_factory=list)
     faults: dict[str, int] = field(default_factory=dict)
--- a/bergamotcourse/tests/platform/soak/run.py
+++ b/bergamotcourse/tests/platform/soak/run.py
@@ -21,6 +21,7 @@
 ENTRIES = 2
 AGENTS = 3
 CALLERS = 8
+ZONES = ("north", "south")
 
 RECOVERY_SECONDS = 90.0
 """Bound of the calm afterwards, generous for a busy machine."""
@@ -39,13 +40,26 @@
 
 
 async def run_soak(
-    seed: int, seconds: float, folder: Path, keeps_ids: bool = False
+    seed: int,
+    seconds: float,
+    folder: Path,
+    keeps_ids: bool = False,
+    evacuates: bool = False,
 ) -> Result:
-    """Run the soak of a seed; workers may start again under the id that they had."""
+    """Run the soak of a seed.
+
+    Args:
+        seed: Of all that is drawn.
+        seconds: For how long faults are thrown.
+        folder: Where the processes' logs go.
+        keeps_ids: Workers start again under the id that they had.
+        evacuates: The processes lie in two zones, which are evacuated in turn.
+    """
     async with trio.open_nursery() as nursery:
-        cluster = ProxiedCluster(folder, nursery)
+        zones = ZONES if evacuates else ZONES[:1]
+        cluster = ProxiedCluster(folder, nursery, zones)
         try:
-            result = await soak(cluster, seed, seconds, keeps_ids)
+            result = await soak(cluster, seed, seconds, keeps_ids, evacuates)
         finally:
             cluster.end()
             nursery.cancel_scope.cancel()
@@ -53,7 +67,11 @@
 
 
 async def soak(
-    cluster: ProxiedCluster, seed: int, seconds: float, keeps_ids: bool
+    cluster: ProxiedCluster,
+    seed: int,
+    seconds: float,
+    keeps_ids: bool,
+    evacuates: bool,
 ) -> Result:
     """Run the soak of a seed on a cluster."""
     rng = random.Random(seed)
@@ -66,7 +84,8 @@
         nursery.start_soon(watch_standstills, records, names)
         async with trio.open_nursery() as calling:
             calling.start_soon(callers.run, CALLERS)
-            await Faults(cluster, records, rng, keeps_ids).run(seconds)
+            faults = Faults(cluster, records, rng, keeps_ids, evacuates)
+            await faults.run(seconds)
             late = await recover(cluster, records)
             callers.stopping = True
         nursery.cancel_scope.cancel()
--- a/bergamotcourse/tests/platform/soak/test_soak.py
+++ b/bergamotcourse/tests/platform/soak/test_soak.py
@@ -20,6 +20,12 @@
         result = trio.run(run_soak, seed, 5.0, tmp_path)
         assert result.violations == []
 
+    @pytest.mark.parametrize("seed", [4])
+    def test_keeps_them_while_zones_are_evacuated(self, seed, tmp_path):
+        result = trio.run(run_soak, seed, 10.0, tmp_path, False, True)
+        assert result.summary["faults"]["evacuate"]
+        assert result.violations == []
+
     @pytest.mark.parametrize("seed", [2, 3])
     def test_keeps_them_of_workers_that_keep_their_ids(self, seed, tmp_path):
         result = trio.run(run_soak, seed, 5.0, tmp_path, True)
--- a/bergamotcourse/tests/platform/soak/test_verdict.py
+++ b/bergamotcourse/tests/platform/soak/test_verdict.py
@@ -7,7 +7,14 @@
 from bergamotcourse.standins.order_upstream import Run
 from bergamotcourse.state.job_spec import TaskName
 from bergamotcourse.state.resources import Resources
-from bergamotcourse.tests.platform.soak.records import Attempt, Harm, Records, Seen
+from bergamotcourse.tests.platform.soak.records import (
+    Attempt,
+    Evacuation,
+    Harm,
+    Records,
+    Seen,
+    StoreOutage,
+)
 from bergamotcourse.tests.platform.soak.verdict import (
     find_false_returns,
     find_violations,
@@ -53,6 +60,31 @@
         [line] = find_violations(make_records(Seen.SUCCEEDED), [run])
         assert line.startswith("started 2.100 s after")
 
+    @pytest.mark.parametrize("outages, found", [([], 1), ([StoreOutage(-1.0, 1.0)], 0)])
+    def test_one_in_a_zone_that_was_evacuated_long_before(self, outages, found):
+        run = make_run(1, 5.5, 6.0)
+        run.zone = "north"
+        records = make_records(Seen.SUCCEEDED)
+        records.evacuations = [Evacuation("north", 0.0, 9.0)]
+        records.outages = outages
+        assert len(find_violations(records, [run])) == found
+
+    @pytest.mark.parametrize(
+        "evacuation",
+        [
+            Evacuation("south", 0.0, 9.0),
+            Evacuation("north", 1.0, 9.0),
+            Evacuation("north", 0.0, 5.4),
+        ],
+        ids=["another zone", "just before", "taken back"],
+    )
+    def test_one_in_a_zone_that_may_be_used(self, evacuation):
+        run = make_run(1, 5.5, 6.0)
+        run.zone = "north"
+        records = make_records(Seen.SUCCEEDED)
+        records.evacuations = [evacuation]
+        assert find_violations(records, [run]) == []
+
     def test_one_that_nobody_asked_for(self):
         lines = find_violations(Records(), [make_run(1, 0.0, 1.0)])
         assert lines == [f"nobody asked for {JOB}"]
--- a/bergamotcourse/tests/platform/soak/verdict.py
+++ b/bergamotcourse/tests/platform/soak/verdict.py
@@ -4,7 +4,16 @@
 
 from bergamotcourse.protocol.upstream_orders import EndKind
 from bergamotcourse.standins.order_upstream import Run, overlaps
-from bergamotcourse.tests.platform.soak.records import Attempt, Harm, Records, Seen
+from bergamotcourse.tests.platform.soak.records import (
+    Attempt,
+    Evacuation,
+    Harm,
+    Records,
+    Seen,
+)
+
+EVACUATED_SECONDS = 5.0
+"""From the evacuation of a zone until nothing starts there any more."""
 
 LEAVING_SECONDS = 2.0
 """From the word that a worker leaves until nothing starts there any more."""
@@ -18,6 +27,7 @@
         *find_false_successes(records, history),
         *find_unasked(records, history),
         *find_late_starts(history),
+        *find_evacuated_starts(records, history),
         *find_cuts(records, history),
         *find_odd(records.attempts),
     ]
@@ -76,6 +86,34 @@
     ]
 
 
+def find_evacuated_starts(records: Records, history: list[Run]) -> list[str]:
+    """A start in a zone long after it was evacuated, and before it was taken back.
+
+    While the store refuses all calls nobody can learn of it.
+    """
+    lines = []
+    for one in records.evacuations:
+        bound = EVACUATED_SECONDS + outage_within(records, one)
+        lines += [
+            f"started {run.started_at - one.begun_at:.3f} s after {one.zone} was "
+            f"evacuated: {run.key.task}"
+            for run in history
+            if run.zone == one.zone
+            and one.begun_at + bound < run.started_at < one.ended_at
+        ]
+    return lines
+
+
+def outage_within(records: Records, evacuation: Evacuation) -> float:
+    """Return for how long the store refused all calls during an evacuation."""
+    overlaps = (
+        min(outage.ended_at, evacuation.ended_at)
+        - max(outage.begun_at, evacuation.begun_at)
+        for outage in records.outages
+    )
+    return sum(max(0.0, seconds) for seconds in overlaps)
+
+
 def find_false_returns(
     attempts: list[Attempt], history: list[Run], events: list[dict]
 ) -> list[str]:
--- a/bergamotcourse/tests/platform/standins.py
+++ b/bergamotcourse/tests/platform/standins.py
@@ -136,6 +136,7 @@
         order = StartOrder(key, body["spec"], body["until_ms"] / 1000)
         verdict = self.upstream.start(order, body["fencing_token"]).verdict
         if verdict is StartVerdict.STARTED:
+            self.upstream.running[key].zone = self.zone
             self.note_leaving(key)
             return self.answer(200)
         if verdict is StartVerdict.UNHEALTHY:
