Evacuate under a job that needs the room of both zones

The test ran small jobs one after the other and counted on their spread over both zones. A job of 16 tasks now needs both workers, which is stricter while a zone is evacuated: its tasks press for room there.

--- a/bergamotcourse/tests/platform/test_evacuations.py
+++ b/bergamotcourse/tests/platform/test_evacuations.py
@@ -14,6 +14,9 @@
 
 ZONES = ("north", "south")
 
+WIDTH = 16
+"""Tasks of a job; a worker has room for ten."""
+
 
 @asynccontextmanager
 async def running(folder, entries=1, agents=2):
@@ -34,15 +37,11 @@
     return worker.upstream.id
 
 
-async def run_jobs(cluster, number, jobs=4):
-    """Run jobs one after the other; return the answers and where they ran."""
-    entry = cluster.entries()[0]
+async def run_wide_job(cluster, number):
+    """Run a job that needs two workers; return its status and where it ran."""
     before = len(cluster.history)
-    answers = [await submit(entry, number + n, 0.05) for n in range(jobs)]
-    return (
-        {answer.status for answer in answers},
-        {run.upstream for run in cluster.history[before:]},
-    )
+    answer = await submit(cluster.entries()[0], number, 0.2, tasks=WIDTH)
+    return answer.status, {run.upstream for run in cluster.history[before:]}
 
 
 class TestEvacuations:
@@ -50,12 +49,12 @@
         async def main():
             async with running(tmp_path) as cluster:
                 north, south = (worker_in(cluster, zone) for zone in ZONES)
-                assert await run_jobs(cluster, 10) == ({200}, {north, south})
+                assert await run_wide_job(cluster, 1) == (200, {north, south})
                 cluster.evacuate("south")
                 await trio.sleep(EVACUATED_SECONDS)
-                assert await run_jobs(cluster, 20) == ({200}, {north})
+                assert await run_wide_job(cluster, 2) == (200, {north})
                 cluster.take_back("south")
                 await trio.sleep(EVACUATED_SECONDS)
-                assert await run_jobs(cluster, 30) == ({200}, {north, south})
+                assert await run_wide_job(cluster, 3) == (200, {north, south})
 
         trio.run(main)
