Make nothing anew on the paths of each message and each placement

For each message of an agent a new amount of resources was made for the largest capacity that its upstream has told, and for each placement a second request, also where no rack has the data. Both only where they differ now.

--- a/bergamotcourse/coordination/jobs/agent_link.py
+++ b/bergamotcourse/coordination/jobs/agent_link.py
@@ -1,10 +1,10 @@
 """What an entry knows of one agent, and whether it may place tasks there.
 
 Of hundreds of agents an entry uses some dozens at a time. With those it is in contact:
-they are heard several times a second, and what is placed there
-starts at once. The others are heard rarely. A run that is placed at one of these starts
-only once a message of the agent has come after it and was echoed, so until then it can
-be taken back with certainty.
+they are heard several times a second, and what is placed there starts at once. The
+others are heard rarely. A run that is placed at one of these starts only once a message
+of the agent has come after it and was echoed, so until then it can be taken back with
+certainty.
 """
 
 from dataclasses import dataclass, field
@@ -186,7 +186,8 @@
     def _note_room(self, room: AgentRoom) -> None:
         if self.room is not None and room.service != self.room.service:
             self.largest = NOTHING
-        self.largest = self.largest | room.capacity
+        if not room.capacity.fits(self.largest):
+            self.largest = self.largest | room.capacity
         self.room = room
 
     def take_back(self) -> list[RunKey]:
--- a/bergamotcourse/coordination/jobs/job_dispatcher.py
+++ b/bergamotcourse/coordination/jobs/job_dispatcher.py
@@ -328,7 +328,7 @@
             reserved=self.racks.wanted(now),
         )
         near = task.spec.data_rack if self.policy.places_near_data else ""
-        nearby = replace(request, rack=near)
+        nearby = replace(request, rack=near) if near else request
         if self.policy.keeps_jobs_together and last and suits(last, nearby):
             # One message carries both, and the payload once.
             return last
