Keep what a stream and a life's end need once

The state of a stream was written out twice, for its start and for its restart, and counted resends of which only their presence matters. Its docstring still said that a receiver takes nothing behind a gap, which it keeps now. Whether an upstream crashed was read off the text of the reason; callers say the outcome now, and the reason that three places share has a name. Telling agents of evacuations is part of taking them, so an entry and its stand-in do not each repeat it. The fleet knows its entries' names by itself.

--- a/bergamotcourse/bench/replay/run.py
+++ b/bergamotcourse/bench/replay/run.py
@@ -165,8 +165,7 @@
             fleet = JobFleet(nursery, load.entries, load.agents, seed, policy)
             fleet.work_of = make_work(load, random.Random(seed))
             if load.link_mbps:
-                names = [f"entry-{number + 1}" for number in range(load.entries)]
-                fleet.limit_links(names, load.link_mbps * BYTES_PER_MBIT)
+                fleet.limit_links(load.link_mbps * BYTES_PER_MBIT)
             await fleet.start()
             set_speeds(fleet, load)
             outcome = Outcome()
--- a/bergamotcourse/coordination/jobs/executor.py
+++ b/bergamotcourse/coordination/jobs/executor.py
@@ -53,9 +53,9 @@
 LOOK_SECONDS = 0.5
 """Pause between two looks at an upstream that does not answer."""
 
-LEFT = "it left"
 STARTED_AGAIN = "it has started again"
 REPLACED = "another upstream at its place"
+OTHER_BOOT = "another boot answers at its address"
 """Why a life is over that has not said so."""
 
 
@@ -153,7 +153,7 @@
         if self.life is None:
             return
         if ends_life(self.life.report.life, gone):
-            self._end_life(LEFT)
+            self._end_life("it left", Outcome.LOST)
             return
         self.log.write(
             "upstream.departure_ignored",
@@ -302,7 +302,7 @@
                 self.book.finish(run, Outcome.RETURNED, verdict.value)
                 # At once: until the next report the entries would place at it, and be
                 # refused, over and over.
-                self._end_life("another boot answers at its address")
+                self._end_life(OTHER_BOOT)
             case StartVerdict.UNHEALTHY:
                 self.health.refused(self.timers.now())
                 self.book.finish(run, Outcome.RETURNED, verdict.value)
@@ -414,7 +414,7 @@
                 life.fenced = False
                 self._take_holding(life, answer, number)
             case HoldFailure.OTHER_BOOT:
-                self._end_life("another boot answers at its address")
+                self._end_life(OTHER_BOOT)
             case _:
                 life.fenced = answer is HoldFailure.FENCED
                 self._hold_failed(life, answer)
@@ -526,7 +526,7 @@
             number = self.holds
             answer = await self.giver.look(life)
             if answer is HoldFailure.OTHER_BOOT and life is self.life:
-                self._end_life("another boot answers at its address")
+                self._end_life(OTHER_BOOT)
             if answer is HoldFailure.FENCED:
                 life.fenced = True
                 return
@@ -536,13 +536,13 @@
             self._take_holding(life, answer, number)
             self.wake.set()
 
-    def _end_life(self, why: str) -> None:
+    def _end_life(self, why: str, outcome: Outcome = Outcome.CRASHED) -> None:
+        """End the life that is here; ``outcome`` is that of its runs."""
         life = self.life
         self.life = None
         self.log.write("upstream.gone", upstream=life.report.id, why=why)
         self.nursery.start_soon(life.port.aclose)
         self.book.return_waiting("the upstream is gone")
-        outcome = Outcome.LOST if why == LEFT else Outcome.CRASHED
         for run in self.book.all():
             self.book.finish(run, outcome, "the upstream is gone")
         self.book.room_changed()
--- a/bergamotcourse/coordination/jobs/item_stream.py
+++ b/bergamotcourse/coordination/jobs/item_stream.py
@@ -25,7 +25,7 @@
         first: Number of the oldest item that is not confirmed.
         sent: Items of ``items`` that were sent at least once.
         sent_at: When the oldest was last sent, or became the oldest.
-        resends: How often the oldest was sent again.
+        resent: The oldest was sent again, and is not confirmed since.
         recover: The last item that was on its way when one was late.
         lost: The oldest is surely lost: of those sent with it later ones have come.
         timer: Tells how long to wait until then.
@@ -33,15 +33,9 @@
     """
 
     def __init__(self):
-        self.first = 1
         self.items: deque[T] = deque()
-        self.sent = 0
-        self.sent_at = 0.0
-        self.resends = 0
-        self.recover = 0
-        self.lost = False
         self.timer = ResendTimer()
-        self.timed: tuple[int, float] | None = None
+        self.restart()
 
     def add(self, item: T) -> None:
         """Append an item."""
@@ -61,7 +55,7 @@
             self.first += 1
             self.sent = max(0, self.sent - 1)
         self.sent_at = now
-        self.resends = 0
+        self.resent = False
         self.lost = self.first <= self.recover
         if self.timed is not None and self.timed[0] < self.first:
             self.timer.learn(now - self.timed[1])
@@ -75,12 +69,12 @@
     def take(self, now: float) -> tuple[int, list[T]]:
         """Return what to send now: the number of the first item, and the items.
 
-        Behind an item that is late the receiver takes nothing, so until that one is
-        confirmed nothing else is sent.
+        Until an item that is late is confirmed nothing new is sent: the receiver could
+        not take it yet, and the link may be full.
         """
         if self.is_late(now):
             return self.first, self._send_again(now)
-        if self.resends:
+        if self.resent:
             return self.first + self.sent, []
         first = self.first + self.sent
         items = list(self.items)[self.sent :]
@@ -97,7 +91,7 @@
             self.timer.expired()
         self.lost = False
         self.sent_at = now
-        self.resends += 1
+        self.resent = True
         self.recover = self.first + self.sent - 1
         self.timed = None
         again = []
@@ -114,10 +108,10 @@
         self.first = 1
         self.sent = 0
         self.sent_at = 0.0
-        self.resends = 0
+        self.resent = False
         self.recover = 0
         self.lost = False
-        self.timed = None
+        self.timed: tuple[int, float] | None = None
 
 
 class Incoming(Generic[T]):
@@ -140,7 +134,7 @@
             fresh = []
             self._keep(first, items)
         self.seen += len(fresh)
-        while self.early and self.seen + 1 in self.early:
+        while self.seen + 1 in self.early:
             self.seen += 1
             fresh.append(self.early[self.seen])
         if self.early and fresh:
--- a/bergamotcourse/coordination/jobs/job_dispatcher.py
+++ b/bergamotcourse/coordination/jobs/job_dispatcher.py
@@ -175,7 +175,8 @@
             self.pump()
 
     def take_evacuations(self) -> None:
-        """Refuse what only evacuated zones could run; the rest may be placed anew."""
+        """Tell agents of evacuations; refuse what only evacuated zones could run."""
+        self.links.tell_all()
         for job in self.waiting:
             if not job.may_have_run:
                 self._refuse_if_hopeless(job, NEVER)
--- a/bergamotcourse/daemons/job_entry.py
+++ b/bergamotcourse/daemons/job_entry.py
@@ -123,7 +123,6 @@
 
     def _zones_changed(self) -> None:
         self.peers.tell_change()
-        self.links.tell_all()
         self.jobs.take_evacuations()
 
     def is_ready(self) -> bool:
--- a/bergamotcourse/virtual/job_fleet.py
+++ b/bergamotcourse/virtual/job_fleet.py
@@ -232,16 +232,12 @@
             "zone-1", self.links, self.timers, self.log, fleet.policy, REMOTE_FACTOR
         )
         self.mailer.handler = self._handle
-        self.zones.on_change = self._zones_changed
+        self.zones.on_change = self.jobs.take_evacuations
 
     async def run(self) -> None:
         """Run until killed."""
         await self.serve(self.links.run)
 
-    def _zones_changed(self) -> None:
-        self.links.tell_all()
-        self.jobs.take_evacuations()
-
     def _handle(self, sender, message) -> None:
         match message:
             case AgentTurn():
@@ -305,10 +301,11 @@
         self.agents: dict[str, AgentProcess] = {}
         self.numbers = (entries, agents)
 
-    def limit_links(self, entries: list[str], bytes_per_second: float) -> None:
-        """Limit the rate of entries' links, in each direction."""
-        for name in entries:
-            self.network.bottlenecks[LinkAddress(f"tcp://{name}")] = (
+    def limit_links(self, bytes_per_second: float) -> None:
+        """Limit the rate of all entries' links, in each direction."""
+        entries, _ = self.numbers
+        for number in range(1, entries + 1):
+            self.network.bottlenecks[LinkAddress(f"tcp://entry-{number}")] = (
                 Bottleneck(bytes_per_second, QUEUE_SECONDS),
                 Bottleneck(bytes_per_second, QUEUE_SECONDS),
             )
