Tell a soak's variant by one value, and a task's job in one place

A pair of truth values went through five signatures of the soak, in one of them as a bare tuple. The job of a task was read off its name in three places; it stands beside the names' types now. A test of overloads takes the length of a window from where it is defined.

--- a/bergamotcourse/bench/replay/run.py
+++ b/bergamotcourse/bench/replay/run.py
@@ -18,6 +18,7 @@
     JobSpec,
     StepSpec,
     TaskName,
+    job_of,
 )
 from bergamotcourse.state.resources import Resources
 from bergamotcourse.virtual.clock import run_virtual
@@ -109,7 +110,7 @@
         runs = self.fleet.history[self.noted :]
         self.noted += len(runs)
         for run in runs:
-            job = JobId(run.key.task.partition(".")[0])
+            job = job_of(run.key.task)
             self.longest[job] = max(self.longest.get(job, 0.0), run.total)
         return self.longest.get(spec.id, spec.steps[0].estimate)
 
--- a/bergamotcourse/state/job_spec.py
+++ b/bergamotcourse/state/job_spec.py
@@ -14,6 +14,11 @@
 """Names one task of a job to the upstreams, unique over all jobs."""
 
 
+def job_of(task: TaskName) -> JobId:
+    """Return the job of a task: the task's name begins with it."""
+    return JobId(task.partition(".")[0])
+
+
 class StepSpec(msgspec.Struct, frozen=True):
     """Tasks of a job that are alike.
 
--- a/bergamotcourse/tests/bench/test_overload.py
+++ b/bergamotcourse/tests/bench/test_overload.py
@@ -12,6 +12,7 @@
     read_load,
 )
 from bergamotcourse.bench.replay.run import replay
+from bergamotcourse.bench.replay.tally import WINDOW_SECONDS
 from bergamotcourse.coordination.jobs.policy import JobPolicy
 
 LOADS = Path(bergamotcourse.__file__).parents[1] / "examples" / "loads"
@@ -32,7 +33,7 @@
     late = [
         tally
         for window, tally in outcome.windows.items()
-        if 2 * window >= ended_at + RECOVERY_SECONDS
+        if WINDOW_SECONDS * window >= ended_at + RECOVERY_SECONDS
     ]
     return sum(one.earned for one in late) / sum(one.worth for one in late)
 
--- a/bergamotcourse/tests/jobs/chaos.py
+++ b/bergamotcourse/tests/jobs/chaos.py
@@ -5,17 +5,13 @@
 import trio
 
 from bergamotcourse.coordination.jobs.job_run import JobOutcome
+from bergamotcourse.state.job_spec import job_of
 from bergamotcourse.virtual.job_fleet import job
 
 RESEND_SECONDS = 1.3
 """The soonest that a caller sends a job again after its connection broke."""
 
 
-def job_of(task):
-    """Return the job of a task: its name begins with it."""
-    return task.partition(".")[0]
-
-
 class Chaos:
     """Faults at random, one after the other and at the same time.
 
--- a/bergamotcourse/tests/platform/soak/__main__.py
+++ b/bergamotcourse/tests/platform/soak/__main__.py
@@ -8,6 +8,7 @@
 import click
 import trio
 
+from bergamotcourse.tests.platform.soak.records import Variant
 from bergamotcourse.tests.platform.soak.run import Result, run_soak
 
 
@@ -33,17 +34,17 @@
     with tempfile.TemporaryDirectory() as folder:
         numbers = range(first, first + seeds)
         place = keep or Path(folder)
-        shape = (keeps_ids, evacuates)
-        results = trio.run(run_all, numbers, seconds, jobs, shape, place)
+        variant = Variant(keeps_ids, evacuates)
+        results = trio.run(run_all, numbers, seconds, jobs, variant, place)
     faulty = [result.seed for result in results if result.violations]
     click.echo(f"{len(results)} soaks, with violations: {faulty or 'none'}")
     sys.exit(bool(faulty))
 
 
 async def run_all(
-    numbers, seconds: float, jobs: int, shape: tuple[bool, bool], folder: Path
+    numbers, seconds: float, jobs: int, variant: Variant, folder: Path
 ) -> list[Result]:
-    """Run the soaks of some seeds, some at a time; ``shape`` is passed to each."""
+    """Run the soaks of some seeds, some at a time."""
     results: list[Result] = []
     limit = trio.CapacityLimiter(jobs)
 
@@ -51,7 +52,7 @@
         async with limit:
             place = folder / str(seed)
             place.mkdir(parents=True)
-            result = await run_soak(seed, seconds, place, *shape)
+            result = await run_soak(seed, seconds, place, variant)
         results.append(result)
         click.echo(f"seed {seed}: {result.summary}")
         for line in result.violations:
--- a/bergamotcourse/tests/platform/soak/faults.py
+++ b/bergamotcourse/tests/platform/soak/faults.py
@@ -11,10 +11,12 @@
 from bergamotcourse.tests.platform.soak.proxied_cluster import ProxiedCluster
 from bergamotcourse.tests.platform.soak.proxy import Direction, Proxy
 from bergamotcourse.tests.platform.soak.records import (
+    USUAL,
     Evacuation,
     Harm,
     Records,
     StoreOutage,
+    Variant,
 )
 from bergamotcourse.tests.platform.soak.verdict import LEAVING_SECONDS
 
@@ -42,8 +44,6 @@
 
     Attributes:
         busy: The processes that a series of faults holds.
-        keeps_ids: Workers start again under the id that they had.
-        evacuates: Zones are evacuated and taken back.
     """
 
     def __init__(
@@ -51,11 +51,9 @@
         cluster: ProxiedCluster,
         records: Records,
         rng: random.Random,
-        keeps_ids: bool = False,
-        evacuates: bool = False,
+        variant: Variant = USUAL,
     ):
-        self.keeps_ids = keeps_ids
-        self.evacuates = evacuates
+        self.variant = variant
         self.cluster = cluster
         self.records = records
         self.rng = rng
@@ -72,14 +70,14 @@
             self._replace_worker,
             self._configure,
         )
-        if keeps_ids:
+        if variant.keeps_ids:
             self.kinds += (self._replace_worker,) * RESTARTS
 
     async def run(self, seconds: float) -> None:
         """Throw faults for so long, and return when all are over."""
         ends_at = trio.current_time() + seconds
         async with trio.open_nursery() as nursery:
-            if self.evacuates:
+            if self.variant.evacuates:
                 nursery.start_soon(self._evacuate_in_turn, ends_at)
             for _ in range(SERIES):
                 rng = random.Random(self.rng.getrandbits(64))
@@ -232,14 +230,14 @@
         worker.upstream.draining = True
         if rng.random() < 0.5:
             await trio.sleep(rng.uniform(*SECONDS))
-            if self.keeps_ids:
+            if self.variant.keeps_ids:
                 # What it is given until then is not counted.
                 await trio.sleep(LEAVING_SECONDS)
         former = worker.upstream
         former.crash()
         await trio.sleep(rng.uniform(*SECONDS))
         rate = rng.uniform(*DRIFT)
-        again = former if self.keeps_ids else None
+        again = former if self.variant.keeps_ids else None
         worker.begin_life(self.cluster.make_upstream(rate, again))
         self.cluster.nursery.start_soon(worker.upstream.run)
 
--- a/bergamotcourse/tests/platform/soak/records.py
+++ b/bergamotcourse/tests/platform/soak/records.py
@@ -42,6 +42,22 @@
     ended_at: float
 
 
+@dataclass(frozen=True)
+class Variant:
+    """What a soak does beside the usual.
+
+    Attributes:
+        keeps_ids: Workers start again under the id that they had.
+        evacuates: The processes lie in two zones, which are evacuated in turn.
+    """
+
+    keeps_ids: bool = False
+    evacuates: bool = False
+
+
+USUAL = Variant()
+
+
 @dataclass(frozen=True)
 class Evacuation:
     """A zone in which nothing was to start; times in seconds of the soak's clock."""
--- a/bergamotcourse/tests/platform/soak/run.py
+++ b/bergamotcourse/tests/platform/soak/run.py
@@ -10,7 +10,7 @@
 from bergamotcourse.tests.platform.soak.callers import Callers
 from bergamotcourse.tests.platform.soak.faults import Faults
 from bergamotcourse.tests.platform.soak.proxied_cluster import ProxiedCluster
-from bergamotcourse.tests.platform.soak.records import Records
+from bergamotcourse.tests.platform.soak.records import USUAL, Records, Variant
 from bergamotcourse.tests.platform.soak.standstill import watch_standstills
 from bergamotcourse.tests.platform.soak.verdict import (
     find_false_returns,
@@ -43,8 +43,7 @@
     seed: int,
     seconds: float,
     folder: Path,
-    keeps_ids: bool = False,
-    evacuates: bool = False,
+    variant: Variant = USUAL,
 ) -> Result:
     """Run the soak of a seed.
 
@@ -52,14 +51,13 @@
         seed: Of all that is drawn.
         seconds: For how long faults are thrown.
         folder: Where the processes' logs go.
-        keeps_ids: Workers start again under the id that they had.
-        evacuates: The processes lie in two zones, which are evacuated in turn.
+        variant: What it does beside the usual.
     """
     async with trio.open_nursery() as nursery:
-        zones = ZONES if evacuates else ZONES[:1]
+        zones = ZONES if variant.evacuates else ZONES[:1]
         cluster = ProxiedCluster(folder, nursery, zones)
         try:
-            result = await soak(cluster, seed, seconds, keeps_ids, evacuates)
+            result = await soak(cluster, seed, seconds, variant)
         finally:
             cluster.end()
             nursery.cancel_scope.cancel()
@@ -67,11 +65,7 @@
 
 
 async def soak(
-    cluster: ProxiedCluster,
-    seed: int,
-    seconds: float,
-    keeps_ids: bool,
-    evacuates: bool,
+    cluster: ProxiedCluster, seed: int, seconds: float, variant: Variant
 ) -> Result:
     """Run the soak of a seed on a cluster."""
     rng = random.Random(seed)
@@ -84,8 +78,7 @@
         nursery.start_soon(watch_standstills, records, names)
         async with trio.open_nursery() as calling:
             calling.start_soon(callers.run, CALLERS)
-            faults = Faults(cluster, records, rng, keeps_ids, evacuates)
-            await faults.run(seconds)
+            await Faults(cluster, records, rng, variant).run(seconds)
             late = await recover(cluster, records)
             callers.stopping = True
         nursery.cancel_scope.cancel()
--- a/bergamotcourse/tests/platform/soak/test_soak.py
+++ b/bergamotcourse/tests/platform/soak/test_soak.py
@@ -3,6 +3,7 @@
 import pytest
 import trio
 
+from bergamotcourse.tests.platform.soak.records import Variant
 from bergamotcourse.tests.platform.soak.run import run_soak
 
 FAULTY = {
@@ -22,11 +23,11 @@
 
     @pytest.mark.parametrize("seed", [4])
     def test_keeps_them_while_zones_are_evacuated(self, seed, tmp_path):
-        result = trio.run(run_soak, seed, 10.0, tmp_path, False, True)
+        result = trio.run(run_soak, seed, 10.0, tmp_path, Variant(evacuates=True))
         assert result.summary["faults"]["evacuate"]
         assert result.violations == []
 
     @pytest.mark.parametrize("seed", [2, 3])
     def test_keeps_them_of_workers_that_keep_their_ids(self, seed, tmp_path):
-        result = trio.run(run_soak, seed, 5.0, tmp_path, True)
+        result = trio.run(run_soak, seed, 5.0, tmp_path, Variant(keeps_ids=True))
         assert result.violations == []
