Log what the store told of the configuration, when, and which calls it left unanswered

The logs could not tell apart why a version was not in force: an answer with several versions of which one was taken, an answer whose position passes a change by, or a call on a connection that died without a sign. config.read has the position asked for, the one told and the number of configurations in the answer; store.still_lost each failure after the first, with its pause; a time-out says whether the connection had carried requests before; store.regained for how long there was no answer; config.wanted when a peer told of a newer version. No decision is changed. The version in force when a job was taken follows from config.in_force of its entry.

--- a/bergamotcourse/coordination/jobs/peers.py
+++ b/bergamotcourse/coordination/jobs/peers.py
@@ -144,6 +144,7 @@
                 peer.heard_at = self.timers.now()
         self.zones.adopt(greeting.evacuations, f"peer {sender}")
         if greeting.config > self.queues.version:
+            self.log.write("config.wanted", version=greeting.config, peer=sender)
             self.mailer.post(sender, ConfigWanted(self.queues.version))
         if greeting.asks:
             self.mailer.post(sender, self._greeting(asks=False, whole=True))
--- a/bergamotcourse/coordination/jobs/store_watch.py
+++ b/bergamotcourse/coordination/jobs/store_watch.py
@@ -53,27 +53,42 @@
 
 
 class Backoff:
-    """Pauses between calls that fail, and the log of losing and regaining the store."""
+    """Pauses between calls that fail, and the log of losing and regaining the store.
+
+    Attributes:
+        answered_at: When a call was last answered, on trio's clock.
+    """
 
     def __init__(self, what: str, rng: random.Random, log: EventLog):
         self.what = what
         self.rng = rng
         self.log = log
         self.failures = 0
+        self.answered_at = trio.current_time()
 
     def succeeded(self) -> None:
         """Note a call that was answered."""
+        now = trio.current_time()
         if self.failures:
-            self.log.write("store.regained", call=self.what, failures=self.failures)
+            self.log.write(
+                "store.regained",
+                call=self.what,
+                failures=self.failures,
+                without_ms=round((now - self.answered_at) * 1000),
+            )
         self.failures = 0
+        self.answered_at = now
 
     async def failed(self, error: StepError) -> None:
         """Note a call that failed, and pause."""
-        if not self.failures:
-            self.log.write("store.lost", call=self.what, error=str(error))
+        kind = "store.still_lost" if self.failures else "store.lost"
         pause = min(RETRY_SECONDS * 2**self.failures, MOST_RETRY_SECONDS)
+        pause *= 0.5 + self.rng.random()
+        self.log.write(
+            kind, call=self.what, error=str(error), pause_ms=round(pause * 1000)
+        )
         self.failures = min(self.failures + 1, 10)
-        await trio.sleep(pause * (0.5 + self.rng.random()))
+        await trio.sleep(pause)
 
 
 class ConfigFeed:
@@ -96,6 +111,7 @@
         self.queues = queues
         self.zones = zones
         self.peers = peers
+        self.log = log
         self.backoff = Backoff("config", rng, log)
         self.position: int | None = None
 
@@ -121,6 +137,13 @@
                 await self.backoff.failed(error)
 
     async def _adopt(self, read: ConfigRead) -> None:
+        if read.position != self.position:
+            self.log.write(
+                "config.read",
+                after=self.position,
+                position=read.position,
+                copies=read.copies,
+            )
         self.zones.adopt(self._evacuations_after(read), "store")
         if read.content is not None:
             self.queues.adopt(read.content, "store")
--- a/bergamotcourse/platform/store.py
+++ b/bergamotcourse/platform/store.py
@@ -201,7 +201,11 @@
     def _config_in(self, read: Rows, is_whole: bool) -> ConfigRead:
         """Return what the rows of the operator's table ask for."""
         return ConfigRead(
-            read.version, self._content_in(read), zone_changes_in(read), is_whole
+            read.version,
+            self._content_in(read),
+            zone_changes_in(read),
+            is_whole,
+            sum(row.key == CONFIG_KEY for row in read.rows),
         )
 
     def _content_in(self, read: Rows) -> bytes | None:
--- a/bergamotcourse/protocol/job_store.py
+++ b/bergamotcourse/protocol/job_store.py
@@ -20,12 +20,14 @@
         content: The configuration; ``None`` where there is none, or it has not changed.
         zones: The zones that are evacuated or taken back.
         is_whole: No zone is evacuated but those of ``zones``.
+        copies: Configurations that the store's answer has.
     """
 
     position: int
     content: bytes | None
     zones: tuple[ZoneChange, ...] = ()
     is_whole: bool = False
+    copies: int = 0
 
 
 class HistoryGoneError(StepError):
--- a/bergamotcourse/transport/http_client.py
+++ b/bergamotcourse/transport/http_client.py
@@ -53,6 +53,7 @@
         stream: The connection's stream.
         http: The protocol's state.
         greeted: Its server is known to be the one that is meant.
+        answered: It has carried a request and its response.
         idle_since: When it was last put back, on trio's clock.
     """
 
@@ -60,6 +61,7 @@
         self.stream = stream
         self.http = h11.Connection(h11.CLIENT)
         self.greeted = False
+        self.answered = False
         self.idle_since = 0.0
 
     def is_stale(self) -> bool:
@@ -71,12 +73,17 @@
 
 @dataclass
 class Exchange:
-    """How far one request has come, for the error that may end it."""
+    """How far one request has come, for the error that may end it.
+
+    Attributes:
+        reuses: Its connection has carried requests before.
+    """
 
     request: HttpRequest
     head: h11.Request
     step: Step = Step.QUEUE
     sent: Sent = Sent.NOTHING
+    reuses: bool = False
 
 
 class HttpClient:
@@ -133,7 +140,8 @@
         exchange = Exchange(request, head)
         with trio.move_on_after(timeout):
             return await self._run(exchange)
-        return self._error(exchange.step, "timed out", exchange.sent)
+        detail = "timed out on a reused connection" if exchange.reuses else "timed out"
+        return self._error(exchange.step, detail, exchange.sent)
 
     async def aclose(self) -> None:
         """Close the idle connections now and the busy ones after their response."""
@@ -169,6 +177,7 @@
     async def _exchange(self, exchange: Exchange) -> HttpResponse:
         exchange.step = Step.CONNECT
         connection = await self._take()
+        exchange.reuses = connection.answered
         reusable = False
         try:
             if self.greeting is not None and not connection.greeted:
@@ -265,6 +274,7 @@
         return True
 
     def _put(self, connection: ClientConnection) -> None:
+        connection.answered = True
         connection.idle_since = trio.current_time()
         self.idle.append(connection)
 
