Show that of several configurations in one answer only the first is taken

The stand-in of the store told only the last change of each row, and answered at once. It now tells each change and waits for one, as the store does. A failed test of the store closes its connections now, as a later test failed for them.

--- a/bergamotcourse/platform/store.py
+++ b/bergamotcourse/platform/store.py
@@ -5,6 +5,7 @@
 from urllib.parse import urlencode
 
 import msgspec
+import trio
 from expression import Error, Ok, Result
 
 from bergamotcourse.coordination.event_log import EventLog
@@ -18,7 +19,7 @@
 from bergamotcourse.state.node_settings import Endpoint
 from bergamotcourse.transport.datagram_link import SCHEME
 from bergamotcourse.transport.http import HttpRequest
-from bergamotcourse.transport.http_client import HttpClient
+from bergamotcourse.transport.http_client import Connect, HttpClient
 
 OPERATOR_TABLE = "op"
 CONFIG_KEY = "config"
@@ -79,8 +80,10 @@
         skipped: Rows that cannot be read and were logged: table, key, version.
     """
 
-    def __init__(self, where: Endpoint, log: EventLog):
-        self.client = HttpClient(where.host, where.port, connections=4)
+    def __init__(
+        self, where: Endpoint, log: EventLog, connect: Connect = trio.open_tcp_stream
+    ):
+        self.client = HttpClient(where.host, where.port, 4, connect=connect)
         self.log = log
         self.skipped: set[tuple[str, str, int]] = set()
 
--- a/bergamotcourse/tests/platform/standins.py
+++ b/bergamotcourse/tests/platform/standins.py
@@ -32,17 +32,18 @@
     """Keeps rows.
 
     Attributes:
-        dropped: The versions at which rows were removed, for the feed.
+        history: Each change of a row, for the feed.
         status: Other than 200, it is the answer to all calls.
         returned: Counts the rows of the last answer.
     """
 
     def __init__(self):
         self.rows = {}
-        self.dropped = {}
+        self.history = []
         self.returned = 0
         self.version = 0
         self.status = 200
+        self.changed = trio.lowlevel.ParkingLot()
 
     async def handle(self, request):
         if self.status != 200:
@@ -53,7 +54,7 @@
             self.transact(msgspec.json.decode(request.body))
             return self.answer([])
         if parts.path.endswith("rows-feed"):
-            rows = self.changes(query["table"], int(query["after"]))
+            rows = await self.wait_for_changes(query)
         else:
             rows = [
                 {"table": table, "part": "", "key": key, "value": value, "ver": version}
@@ -64,28 +65,30 @@
         self.returned = len(rows)
         return self.answer(rows)
 
+    async def wait_for_changes(self, query):
+        """Return the changes that a call asks for, as soon as there is one."""
+        after = int(query["after"])
+        with trio.move_on_after(int(query["wait_ms"]) / 1000):
+            while not self.changes(query["table"], after):
+                await self.changed.park()
+        return self.changes(query["table"], after)
+
     def changes(self, table, after):
-        """Return the rows of a table that changed after a version, in order."""
-        rows = [
-            {"table": table, "part": "", "key": key, "value": value, "ver": version}
-            for (of, key), (value, version) in self.rows.items()
-            if of == table and version > after
-        ]
-        rows += [
-            {"table": table, "part": "", "key": key, "ver": version, "deleted": True}
-            for (of, key), version in self.dropped.items()
-            if of == table and version > after
+        """Return each change of a table since a version, in order."""
+        return [
+            row for row in self.history if row["table"] == table and row["ver"] > after
         ]
-        return sorted(rows, key=lambda row: row["ver"])
 
     def transact(self, call):
         self.version += 1
         for row in call.get("put", []):
             self.rows[row["table"], row["key"]] = (row["value"], self.version)
-            self.dropped.pop((row["table"], row["key"]), None)
+            self.history.append({**row, "part": "", "ver": self.version})
         for row in call.get("remove", []):
             if self.rows.pop((row["table"], row["key"]), None) is not None:
-                self.dropped[row["table"], row["key"]] = self.version
+                dropped = {"part": "", "ver": self.version, "deleted": True}
+                self.history.append({**row, **dropped})
+        self.changed.unpark_all()
 
     def answer(self, rows):
         body = {"rows": rows, "has_more": False, "ver": self.version, "now_ms": 1}
--- a/bergamotcourse/tests/platform/test_store.py
+++ b/bergamotcourse/tests/platform/test_store.py
@@ -44,8 +44,10 @@
             await server.wait_open()
             log = EventLog(lambda kind, fields: lines.append((kind, fields)))
             store = Store(Endpoint("127.0.0.1", server.port), log)
-            await use(store)
-            await store.aclose()
+            try:
+                await use(store)
+            finally:
+                await store.aclose()
             nursery.cancel_scope.cancel()
 
     trio.run(main)
@@ -66,6 +68,18 @@
 
         with_store(rows, use)
 
+    def test_the_last_of_several_changes_is_taken(self):
+        """The store tells each change, though only the last is in force."""
+        rows = Rows()
+        for content in (b"1", b"2", b"3"):
+            value = base64.b64encode(content).decode()
+            rows.transact({"put": [{"table": "op", "key": "config", "value": value}]})
+
+        async def use(store):
+            assert (await store.config_changes(1, 0.0, 1.0)).ok.content == b"3"
+
+        with_store(rows, use)
+
     def test_comes_with_the_zones_that_are_evacuated(self):
         """The key tells the zone, whatever stands in the row."""
         rows = Rows()
