Put the last of several configurations in force, not the first

What callers saw: requests handled as only an older version allows, seconds after a newer one was acknowledged, until the next change came (CONFIG).

Cause: the store's answer to a call for changes has each change of a row since the position asked for. The client took the first copy of the configuration that it found and went on from the end of the answer, so the later ones never came. It takes several changes in the time of one call: an outage, a cut, a frozen entry, two operators who race. Where all entries miss the same, none can tell the others. The class: the first event of a stream taken for its latest state. Evacuated zones come by the same answers and were applied in order; whole reads have each row once.

The last copy is taken.

--- a/bergamotcourse/platform/store.py
+++ b/bergamotcourse/platform/store.py
@@ -212,8 +212,11 @@
         )
 
     def _content_in(self, read: Rows) -> bytes | None:
-        """Return the configuration among the rows of the operator's table."""
-        for row in read.rows:
+        """Return the last configuration among the rows of the operator's table.
+
+        The store tells each change of a row since a position, not only the last.
+        """
+        for row in reversed(read.rows):
             if row.key == CONFIG_KEY and not row.deleted:
                 try:
                     return base64.b64decode(row.value, validate=True)
