Use no idle connection to the store once a call has timed out

What callers would see: after all open connections have gone silent without a sign, while new ones work, a version that was accepted is in force up to 3.3 s late.

Cause: the store's client keeps up to four connections, opened at once when a process starts, and takes the one used last. Those that died without a sign wait in the pool; each of the next calls takes one, and the call for changes pays its whole time of 1.8 to 3 s for each. All entries pay at the same time, so none can tell the others. The class: one failure taken for one connection's, though its cause may be common to all.

A call that times out now ends the idle connections too; the next call opens one. Only for the store: with an upstream each new connection is priced and time-outs are some milliseconds.

--- a/bergamotcourse/platform/store.py
+++ b/bergamotcourse/platform/store.py
@@ -28,6 +28,9 @@
 UPSTREAM_TABLE = "upstreams"
 HISTORY_GONE_STATUS = 410
 
+CONNECTIONS = 4
+"""At most: one for each part of a process that calls the store."""
+
 AFTER_KEY = "!"
 """Ends a range that has one key: sorts before all that stands in an address."""
 
@@ -83,7 +86,9 @@
     def __init__(
         self, where: Endpoint, log: EventLog, connect: Connect = trio.open_tcp_stream
     ):
-        self.client = HttpClient(where.host, where.port, 4, connect=connect)
+        self.client = HttpClient(
+            where.host, where.port, CONNECTIONS, connect=connect, doubts_idle=True
+        )
         self.log = log
         self.skipped: set[tuple[str, str, int]] = set()
 
--- a/bergamotcourse/tests/platform/test_configuration_in_force.py
+++ b/bergamotcourse/tests/platform/test_configuration_in_force.py
@@ -140,3 +140,21 @@
             assert fleet.behind(15) == 0
 
         play(deployment, seed, scenario)
+
+
+class TestSilentConnections:
+    """All connections to the store go silent at once; new ones work."""
+
+    @DEPLOYMENTS
+    @SEEDS
+    def test_a_version_accepted_after_that_is_in_force_in_time(self, deployment, seed):
+        async def scenario(fleet, rng):
+            fleet.store.silence()
+            calm_at = trio.current_time() + deployment.calm
+            await trio.sleep(rng.uniform(0.0, deployment.calm))
+            fleet.configure(7)
+            in_force_by = max(calm_at, trio.current_time() + deployment.apply)
+            await trio.sleep_until(in_force_by)
+            assert fleet.behind(7) == 0
+
+        play(deployment, seed, scenario)
--- a/bergamotcourse/tests/transport/test_http_client.py
+++ b/bergamotcourse/tests/transport/test_http_client.py
@@ -268,6 +268,24 @@
 
         assert run_virtual(script) == connections
 
+    @pytest.mark.parametrize(("doubts", "connections"), [(False, 2), (True, 3)])
+    def test_a_time_out_may_cast_doubt_on_idle_connections(self, doubts, connections):
+        async def script():
+            dialer = Dialer()
+            client = HttpClient("a", 1, connect=dialer.connect, doubts_idle=doubts)
+            async with trio.open_nursery() as nursery:
+                nursery.start_soon(client.request, GET, TIMEOUT)
+                nursery.start_soon(client.request, GET, TIMEOUT)
+                await trio.testing.wait_all_tasks_blocked()
+                for server in dialer.servers:
+                    await server.send_all(OK)
+            assert (await client.request(GET, TIMEOUT)).is_error()
+            dialer.answers = [OK]
+            await client.request(GET, TIMEOUT)
+            return len(dialer.servers)
+
+        assert run_virtual(script) == connections
+
     def test_aclose_closes_idle_connections(self):
         async def script():
             dialer = Dialer([OK])
--- a/bergamotcourse/transport/http_client.py
+++ b/bergamotcourse/transport/http_client.py
@@ -99,6 +99,8 @@
         body_bytes: Largest body of a response; a larger one is an error.
         peer: The server as errors name it.
         closed: ``aclose`` was called.
+        doubts_idle: Whether a request that times out ends all idle connections: they
+            may have died with its own, without a sign.
         greeting: Exchanged on each new connection; ``None`` without one.
         idle: Connections that wait for reuse, the one used last at the end.
     """
@@ -112,6 +114,7 @@
         body_bytes: int = 16 << 20,
         connect: Connect = trio.open_tcp_stream,
         greeting: Greeting | None = None,
+        doubts_idle: bool = False,
     ):
         self.host = host
         self.port = port
@@ -120,6 +123,7 @@
         self.peer = f"[{host}]:{port}" if ":" in host else f"{host}:{port}"
         self.closed = False
         self.greeting = greeting
+        self.doubts_idle = doubts_idle
         self._connect = connect
         self._slots = trio.Semaphore(connections)
         self.idle: deque[ClientConnection] = deque()
@@ -140,12 +144,17 @@
         exchange = Exchange(request, head)
         with trio.move_on_after(timeout):
             return await self._run(exchange)
+        if self.doubts_idle:
+            await self._close_idle()
         detail = "timed out on a reused connection" if exchange.reuses else "timed out"
         return self._error(exchange.step, detail, exchange.sent)
 
     async def aclose(self) -> None:
         """Close the idle connections now and the busy ones after their response."""
         self.closed = True
+        await self._close_idle()
+
+    async def _close_idle(self) -> None:
         while self.idle:
             await trio.aclose_forcefully(self.idle.popleft().stream)
 
