Let connections go silent in the soak, and ask each entry for the last route

The soak silenced connections only until they healed, and asked for the last configuration for up to 90 s. A variant of its own, so that the seeds that found faults draw what they drew.

--- a/bergamotcourse/tests/platform/soak/__main__.py
+++ b/bergamotcourse/tests/platform/soak/__main__.py
@@ -19,6 +19,7 @@
 @click.option("--jobs", default=3, help="How many run at a time.")
 @click.option("--keeps-ids", is_flag=True, help="Workers start again under their id.")
 @click.option("--evacuates", is_flag=True, help="Zones are evacuated in turn.")
+@click.option("--deafens", is_flag=True, help="Connections go silent at once.")
 @click.option("--keep", type=click.Path(path_type=Path), help="Where logs are kept.")
 def main(
     seeds: int,
@@ -27,6 +28,7 @@
     jobs: int,
     keeps_ids: bool,
     evacuates: bool,
+    deafens: bool,
     keep: Path | None,
 ):
     """Throw random faults at the real programs, and check their promises."""
@@ -34,7 +36,7 @@
     with tempfile.TemporaryDirectory() as folder:
         numbers = range(first, first + seeds)
         place = keep or Path(folder)
-        variant = Variant(keeps_ids, evacuates)
+        variant = Variant(keeps_ids, evacuates, deafens)
         results = trio.run(run_all, numbers, seconds, jobs, variant, place)
     faulty = [result.seed for result in results if result.violations]
     click.echo(f"{len(results)} soaks, with violations: {faulty or 'none'}")
--- a/bergamotcourse/tests/platform/soak/faults.py
+++ b/bergamotcourse/tests/platform/soak/faults.py
@@ -72,6 +72,8 @@
         )
         if variant.keeps_ids:
             self.kinds += (self._replace_worker,) * RESTARTS
+        if variant.deafens:
+            self.kinds += (self._deafen, self._configure)
 
     async def run(self, seconds: float) -> None:
         """Throw faults for so long, and return when all are over."""
@@ -199,6 +201,13 @@
         if rng.random() < 0.2:
             proxy.reset()
 
+    async def _deafen(self, rng: random.Random) -> None:
+        """Let all connections to the store and to workers go silent, without a sign."""
+        for name, proxy in self.cluster.proxies.items():
+            if name.startswith(("store of", "worker of")):
+                proxy.deafen()
+        await trio.sleep(rng.uniform(*SECONDS))
+
     async def _disturb_store(self, rng: random.Random) -> None:
         rows = self.cluster.rows
         rows.status = rng.choice((503, 429, 500))
--- a/bergamotcourse/tests/platform/soak/proxy.py
+++ b/bergamotcourse/tests/platform/soak/proxy.py
@@ -28,6 +28,7 @@
         silent: The directions in which bytes are held until the fault ends, as a
             network does whose packets are sent again.
         refusing: New connections are reset.
+        deaf: Connections that pass nothing on any more, without a sign.
     """
 
     def __init__(self, host: str, server: tuple[str, int]):
@@ -39,6 +40,7 @@
         self.refusing = False
         self.changed = trio.lowlevel.ParkingLot()
         self.scopes: set[trio.CancelScope] = set()
+        self.deaf: set[trio.CancelScope] = set()
 
     async def run(self, task_status=trio.TASK_STATUS_IGNORED) -> None:
         """Listen and pass on until cancelled."""
@@ -58,6 +60,10 @@
         self.delay = 0.0
         self.changed.unpark_all()
 
+    def deafen(self) -> None:
+        """Let all connections go silent for good; new ones work."""
+        self.deaf.update(self.scopes)
+
     def reset(self) -> None:
         """Reset all connections, on both sides."""
         for scope in self.scopes:
@@ -75,29 +81,34 @@
         with trio.CancelScope() as scope:
             self.scopes.add(scope)
             try:
-                await self._pass_on(client, server)
+                await self._pass_on(client, server, scope)
             finally:
                 self.scopes.discard(scope)
+                self.deaf.discard(scope)
                 end = abort if scope.cancel_called else trio.aclose_forcefully
                 with trio.CancelScope(shield=True):
                     await end(client)
                     await end(server)
 
-    async def _pass_on(self, client, server) -> None:
+    async def _pass_on(self, client, server, scope: trio.CancelScope) -> None:
         async with trio.open_nursery() as nursery:
 
             async def from_client() -> None:
-                if not await self._pump(client, server, Direction.TO_SERVER):
+                if not await self._pump(client, server, Direction.TO_SERVER, scope):
                     nursery.cancel_scope.cancel()
 
             nursery.start_soon(from_client)
-            await self._pump(server, client, Direction.TO_CLIENT)
+            await self._pump(server, client, Direction.TO_CLIENT, scope)
             nursery.cancel_scope.cancel()
 
-    async def _pump(self, source, target, direction: Direction) -> bool:
+    async def _pump(
+        self, source, target, direction: Direction, scope: trio.CancelScope
+    ) -> bool:
         """Pass on one direction; false if a connection broke."""
         try:
             while data := await source.receive_some(RECEIVE_BYTES):
+                if scope in self.deaf:
+                    continue
                 await trio.sleep(self.delay)
                 await self._until_heard(direction)
                 await target.send_all(data)
--- a/bergamotcourse/tests/platform/soak/records.py
+++ b/bergamotcourse/tests/platform/soak/records.py
@@ -49,10 +49,12 @@
     Attributes:
         keeps_ids: Workers start again under the id that they had.
         evacuates: The processes lie in two zones, which are evacuated in turn.
+        deafens: All connections to the store and to workers go silent at once.
     """
 
     keeps_ids: bool = False
     evacuates: bool = False
+    deafens: bool = False
 
 
 USUAL = Variant()
--- a/bergamotcourse/tests/platform/soak/run.py
+++ b/bergamotcourse/tests/platform/soak/run.py
@@ -17,6 +17,7 @@
     find_violations,
     summarise,
 )
+from bergamotcourse.transport.http import HttpRequest
 
 ENTRIES = 2
 AGENTS = 3
@@ -26,6 +27,9 @@
 RECOVERY_SECONDS = 90.0
 """Bound of the calm afterwards, generous for a busy machine."""
 
+IN_FORCE_SECONDS = 3.0
+"""Of calm, after which the last configuration is in force at each entry."""
+
 LAST_JOB = 1 << 40
 """Numbers of jobs handed in after the faults."""
 
@@ -79,7 +83,8 @@
         async with trio.open_nursery() as calling:
             calling.start_soon(callers.run, CALLERS)
             await Faults(cluster, records, rng, variant).run(seconds)
-            late = await recover(cluster, records)
+            late = await find_old_configurations(cluster)
+            late += await recover(cluster, records)
             callers.stopping = True
         nursery.cancel_scope.cancel()
     late += await settle(cluster)
@@ -92,6 +97,19 @@
     return Result(seed, violations, summarise(records))
 
 
+async def find_old_configurations(cluster: ProxiedCluster) -> list[str]:
+    """Return which entries do not know the route added last, after some calm."""
+    await trio.sleep(IN_FORCE_SECONDS)
+    path = cluster.last_prefix()
+    request = HttpRequest("GET", path, [("host", "one.example")])
+    old = []
+    for node in cluster.entries():
+        answer = await ask(node.addresses["front"], request)
+        if answer.is_ok() and answer.ok.status == 404:
+            old.append(f"{node.name} does not know {path}")
+    return old
+
+
 async def recover(cluster: ProxiedCluster, records: Records) -> list[str]:
     """Wait until each entry serves the last configuration; return what did not."""
     late = []
--- a/bergamotcourse/tests/platform/soak/test_soak.py
+++ b/bergamotcourse/tests/platform/soak/test_soak.py
@@ -31,3 +31,9 @@
     def test_keeps_them_of_workers_that_keep_their_ids(self, seed, tmp_path):
         result = trio.run(run_soak, seed, 5.0, tmp_path, Variant(keeps_ids=True))
         assert result.violations == []
+
+    @pytest.mark.parametrize("seed", [12])
+    def test_keeps_them_while_connections_go_silent(self, seed, tmp_path):
+        result = trio.run(run_soak, seed, 8.0, tmp_path, Variant(deafens=True))
+        assert result.summary["faults"]["deafen"]
+        assert result.violations == []
