Ask for the configuration again before the bound on it holds again

After a store that left calls unanswered for some seconds, an entry without peers could have a new version up to 0.2 s late: a call of 1.8 s was followed by a pause of up to 1.8 s, together more than the 3 s after which the bound holds again on the small deployments.

The pause after a failed call for the configuration is 0.9 s at most; others stay as they were, as each call is priced and 160 agents make them. The class: time-outs chosen one by one, whose sum nobody held against the bound.

--- a/bergamotcourse/coordination/jobs/store_watch.py
+++ b/bergamotcourse/coordination/jobs/store_watch.py
@@ -39,6 +39,10 @@
 MOST_RETRY_SECONDS = 1.2
 """Pauses after a call that failed: doubled each time, and spread by half."""
 
+MOST_CONFIG_RETRY_SECONDS = 0.6
+"""The same for the configuration: a call that times out and the pause after it end
+before the bound on configurations holds again, also at an entry without peers."""
+
 ENTRIES_SECONDS = 5.0
 """Between two looks for entries that have come; peers tell of them sooner."""
 
@@ -56,13 +60,21 @@
     """Pauses between calls that fail, and the log of losing and regaining the store.
 
     Attributes:
+        most: Seconds of the longest pause, before it is spread.
         answered_at: When a call was last answered, on trio's clock.
     """
 
-    def __init__(self, what: str, rng: random.Random, log: EventLog):
+    def __init__(
+        self,
+        what: str,
+        rng: random.Random,
+        log: EventLog,
+        most: float = MOST_RETRY_SECONDS,
+    ):
         self.what = what
         self.rng = rng
         self.log = log
+        self.most = most
         self.failures = 0
         self.answered_at = trio.current_time()
 
@@ -82,7 +94,7 @@
     async def failed(self, error: StepError) -> None:
         """Note a call that failed, and pause."""
         kind = "store.still_lost" if self.failures else "store.lost"
-        pause = min(RETRY_SECONDS * 2**self.failures, MOST_RETRY_SECONDS)
+        pause = min(RETRY_SECONDS * 2**self.failures, self.most)
         pause *= 0.5 + self.rng.random()
         self.log.write(
             kind, call=self.what, error=str(error), pause_ms=round(pause * 1000)
@@ -112,7 +124,7 @@
         self.zones = zones
         self.peers = peers
         self.log = log
-        self.backoff = Backoff("config", rng, log)
+        self.backoff = Backoff("config", rng, log, MOST_CONFIG_RETRY_SECONDS)
         self.position: int | None = None
 
     async def run(self) -> None:
--- a/bergamotcourse/tests/platform/silenced_store.py
+++ b/bergamotcourse/tests/platform/silenced_store.py
@@ -39,12 +39,14 @@
 
     Attributes:
         opened: The connections that clients have opened.
+        unreachable: New connections get no answer either.
     """
 
     def __init__(self, nursery: trio.Nursery):
         self.nursery = nursery
         self.rows = Rows()
         self.opened: list[SilencedStream] = []
+        self.unreachable = False
 
     def client(self, log: EventLog) -> Store:
         """Return a client of this store."""
@@ -52,6 +54,8 @@
 
     async def connect(self, host, port) -> SilencedStream:
         """Open a connection."""
+        if self.unreachable:
+            await trio.sleep_forever()
         near, far = memory_stream_pair()
         connection = ServerConnection(far, self.rows.handle, ServerLimits())
         self.nursery.start_soon(connection.run)
--- a/bergamotcourse/tests/platform/test_configuration_in_force.py
+++ b/bergamotcourse/tests/platform/test_configuration_in_force.py
@@ -42,6 +42,7 @@
     apply: float
 
 
+ALONE = Deployment(1, 3.0, 2.0)
 SMALL = Deployment(3, 3.0, 2.0)
 GROWN = Deployment(13, 4.0, 3.0)
 LARGE = Deployment(35, 5.0, 4.0)
@@ -142,6 +143,23 @@
         play(deployment, seed, scenario)
 
 
+class TestUnreachableStore:
+    """No call is answered or refused for some seconds."""
+
+    @pytest.mark.parametrize("seed", range(1, 41))
+    def test_an_entry_without_peers_follows_in_time(self, seed):
+        async def scenario(fleet, rng):
+            fleet.store.silence()
+            fleet.store.unreachable = True
+            await trio.sleep(rng.uniform(3.0, 9.0))
+            fleet.store.unreachable = False
+            fleet.configure(7)
+            await trio.sleep(ALONE.calm)
+            assert fleet.behind(7) == 0
+
+        play(ALONE, seed, scenario)
+
+
 class TestSilentConnections:
     """All connections to the store go silent at once; new ones work."""
 
