Log the end of a run that is listed after its agent has given it up

Cause: a run at an upstream that does not answer is given up when its lease lapses. If the upstream answers later and lists how the run ended, nothing tells it, so a log can't show whether a job was given up, or a task repeated, whose run was done. Change: run.end_late, with the run and its end; counted by end like all events.

--- a/bergamotcourse/coordination/jobs/holding_reconciler.py
+++ b/bergamotcourse/coordination/jobs/holding_reconciler.py
@@ -9,6 +9,7 @@
 from bergamotcourse.coordination.timers import Timers
 from bergamotcourse.protocol.task_messages import RunOutcome
 from bergamotcourse.protocol.upstream_orders import EndedRun, EndKind, Holding
+from bergamotcourse.state.job_spec import job_id_of_task
 
 OUTCOME_BY_END_KIND = {
     EndKind.DONE: RunOutcome.DONE,
@@ -77,6 +78,13 @@
     def _handle_run_end(self, ended: EndedRun, health: UpstreamHealth) -> None:
         run = self.registry.runs.get(ended.key)
         if run is None:
+            self.log.write(
+                "run.end_late",
+                request=job_id_of_task(ended.key.task),
+                task=ended.key.task,
+                run=ended.key.number,
+                outcome=ended.kind.value,
+            )
             self.former_ends.record(ended.key, ended.kind)
             return
         ran = self.timers.now() - run.started_at if run.started_at else 0.0
