Let no interrupted run of the silence tests be done before its upstream is

Cause: the tests ask that a job isn't failed by upstreams that leave orders unanswered. Its task took 1.0 s, so that the second run, which starts while the test still waits for the first upstream's silence to end, was done before its own upstream's lease lapsed. Once an end that is listed late completes its task, the job succeeds by it, and the test passes whatever a lapsed lease is taken for.

Change: the task takes 3.0 s, longer than any interrupted run lasts.

--- a/bergamotcourse/tests/jobs/test_silent_upstreams.py
+++ b/bergamotcourse/tests/jobs/test_silent_upstreams.py
@@ -11,13 +11,17 @@
 INTERRUPTIONS = 4
 """More than any limit on how often a task may be interrupted."""
 
+INTERRUPTED_WORK_SECONDS = 3.0
+"""No run of an interrupted task is done before its upstream is: a late end of one would
+complete the task, whatever the interruptions are taken for."""
+
 
 async def submit_interrupted(fleet, interrupt):
     """Submit a job of one task, interrupt it several times, and return the answer."""
     answers = []
 
     async def submit():
-        spec = job("a", tasks=1, work=1.0)
+        spec = job("a", tasks=1, work=INTERRUPTED_WORK_SECONDS)
         answers.append(
             await fleet.submit("entry-1", spec, QUEUE, CALLER_TIMEOUT_SECONDS)
         )
