Complete a task by the end of a run that had been taken for lost

Cause: an agent gives a run up once its upstream's lease has lapsed unanswered, and the entry places the task again. Some milliseconds later the upstream answers and lists the run as done. The end was kept for a withdrawal that never came, so the task ran again in full. An end that an entry hears only after it has taken a silent agent's runs for lost was dropped in the same way.

The entry looks up the task of an outcome `done` whose run it no longer has, completes it if the job has no outcome and has placed a run of that number, and withdraws the present run. Messages are as before. Other late ends are only logged: a late `failed` is no attempt, as the lease has lapsed before it was acknowledged.

--- a/bergamotcourse/coordination/jobs/agent_links.py
+++ b/bergamotcourse/coordination/jobs/agent_links.py
@@ -84,6 +84,8 @@
         on_run_ended: Called with the owner of a run, its link and its outcome.
         on_outcomes_reported: Called after all outcomes of one message or of one lost
             agent were passed to ``on_run_ended``.
+        on_late_completion: Called with the outcome of a run that has completed although
+            it had another outcome before.
         on_room_reported: Called when an agent has reported its load and no outcomes.
         is_waiting: Returns whether the entry has tasks that find no free capacity.
     """
@@ -108,6 +110,7 @@
         self.log = log
         self.links: dict[LinkAddress, AgentLink] = {}
         self.on_run_ended: Callable[[Any, AgentLink, TaskEnded], None] = _ignore
+        self.on_late_completion: Callable[[TaskEnded], None] = lambda _ended: None
         self.on_room_reported: Callable[[AgentLink], None] = lambda _link: None
         self.on_outcomes_reported: Callable[[], None] = lambda: None
         self.is_waiting: Callable[[], bool] = lambda: False
@@ -251,6 +254,8 @@
         owner = link.remove_run(ended.key)
         if owner is not None:
             self.on_run_ended(owner, link, ended)
+        elif ended.outcome is RunOutcome.DONE:
+            self.on_late_completion(ended)
 
     def _report_runs_lost(self, link: AgentLink, why: str) -> None:
         """Report the runs at an agent as lost; all of them have ended by now."""
--- a/bergamotcourse/coordination/jobs/executor.py
+++ b/bergamotcourse/coordination/jobs/executor.py
@@ -505,7 +505,7 @@
         outcome = RunOutcome.CRASHED if self.life else RunOutcome.LOST
         for run in self.registry.all():
             if run.occupies_room:
-                self.registry.finish(run, outcome, "its lease lapsed")
+                self.reconciler.give_up(run, outcome, "its lease lapsed")
 
     def _handle_holding(
         self, life: UpstreamLife, holding: Holding, number: int
--- a/bergamotcourse/coordination/jobs/holding_reconciler.py
+++ b/bergamotcourse/coordination/jobs/holding_reconciler.py
@@ -7,7 +7,7 @@
 from bergamotcourse.coordination.jobs.upstream_health import UpstreamHealth
 from bergamotcourse.coordination.jobs.upstream_life import UpstreamLife
 from bergamotcourse.coordination.timers import Timers
-from bergamotcourse.protocol.task_messages import RunOutcome
+from bergamotcourse.protocol.task_messages import RunOutcome, TaskEnded
 from bergamotcourse.protocol.upstream_orders import EndedRun, EndKind, Holding
 from bergamotcourse.state.job_spec import job_id_of_task
 
@@ -24,7 +24,8 @@
 
     Attributes:
         registry: The runs of the agent.
-        former_ends: Ends of runs that an earlier process had started.
+        former_ends: Ends of runs that an earlier process had started, or that were
+            given up.
     """
 
     def __init__(self, registry: RunRegistry, timers: Timers, log: EventLog):
@@ -75,17 +76,15 @@
         self.registry.finish(run, OUTCOME_BY_END_KIND[kind], kind.value)
         return True
 
+    def give_up(self, run: PlacedRun, outcome: RunOutcome, why: str) -> None:
+        """Finish a run whose end is not known yet and may be listed later."""
+        self.former_ends.record_given_up(run.key, run.entry)
+        self.registry.finish(run, outcome, why)
+
     def _handle_run_end(self, ended: EndedRun, health: UpstreamHealth) -> None:
         run = self.registry.runs.get(ended.key)
         if run is None:
-            self.log.write(
-                "run.end_late",
-                request=job_id_of_task(ended.key.task),
-                task=ended.key.task,
-                run=ended.key.number,
-                outcome=ended.kind.value,
-            )
-            self.former_ends.record(ended.key, ended.kind)
+            self._handle_late_end(ended)
             return
         ran = self.timers.now() - run.started_at if run.started_at else 0.0
         health.record_end(ended.kind, run, ran, self.timers.now())
@@ -94,6 +93,28 @@
             outcome = RunOutcome.MOVED
         self.registry.finish(run, outcome, ended.kind.value, ran)
 
+    def _handle_late_end(self, ended: EndedRun) -> None:
+        """Store the end of a run without an owner here, and report it if it is done.
+
+        The entry was told that a run given up is lost, and may have placed its task
+        again. If the run has completed its task after all, the entry need not wait for
+        the new run. Any other end tells it nothing that it could use.
+        """
+        self.log.write(
+            "run.end_late",
+            request=job_id_of_task(ended.key.task),
+            task=ended.key.task,
+            run=ended.key.number,
+            outcome=ended.kind.value,
+        )
+        self.former_ends.record(ended.key, ended.kind)
+        entry = self.former_ends.pop_given_up(ended.key)
+        if entry is not None and ended.kind is EndKind.DONE:
+            detail = "listed after its lease lapsed"
+            self.registry.report_end(
+                entry, TaskEnded(ended.key, RunOutcome.DONE, detail=detail)
+            )
+
     def _finish_unlisted_run(
         self, run: PlacedRun, life: UpstreamLife, holding: Holding
     ) -> None:
--- a/bergamotcourse/coordination/jobs/job_dispatcher.py
+++ b/bergamotcourse/coordination/jobs/job_dispatcher.py
@@ -34,7 +34,7 @@
     RunOutcome,
     TaskEnded,
 )
-from bergamotcourse.state.job_spec import JobId, JobQueue, JobSpec
+from bergamotcourse.state.job_spec import JobId, JobQueue, JobSpec, job_id_of_task
 from bergamotcourse.state.node_settings import REMOTE_FACTOR
 
 RESPONSE_MARGIN_SECONDS = 0.06
@@ -96,6 +96,7 @@
         self.started_at = timers.now()
         self.ends_at = NEVER
         links.on_run_ended = self.handle_run_outcome
+        links.on_late_completion = self.handle_late_completion
         links.on_outcomes_reported = self.place_waiting_jobs
         links.on_room_reported = self.handle_agent_load
         links.is_waiting = self.is_waiting
@@ -235,6 +236,31 @@
         if is_current:
             self._requeue_task(job, task, ended)
 
+    def handle_late_completion(self, ended: TaskEnded) -> None:
+        """Complete a task by a run that had been taken for lost.
+
+        All work of that run is over, so the task may complete while a later run of it
+        is waiting, on its way or in progress; that run is withdrawn.
+        """
+        job = self.jobs.get(job_id_of_task(ended.key.task))
+        if job is None or job.outcome is not None:
+            return
+        task = job.task(ended.key.task)
+        if task is None or task.state is TaskState.DONE:
+            return
+        if ended.key.number > task.number:
+            # The run was placed for an earlier arrival of the job.
+            return
+        self.log.write(
+            "task.done_late",
+            request=job.spec.id,
+            task=task.name,
+            run=ended.key.number,
+            last_run=task.number,
+            was=task.state.value,
+        )
+        self._complete_task(job, task)
+
     # Admission and outcomes of jobs.
 
     def _admit(self, spec: JobSpec, queue: JobQueue, seconds: float) -> JobRun:
--- a/bergamotcourse/coordination/jobs/job_run.py
+++ b/bergamotcourse/coordination/jobs/job_run.py
@@ -148,6 +148,10 @@
         )
         return remote_in_time or now > self.start_by
 
+    def task(self, name: TaskName) -> TaskRun | None:
+        """Return the task with a name, or ``None`` if the job has none."""
+        return next((task for task in self.tasks if task.name == name), None)
+
     def pending_tasks(self) -> list[TaskRun]:
         """Return the tasks that are ready to be placed."""
         return [task for task in self.tasks if task.state is TaskState.PENDING]
