Let the stand-in worker leave orders unanswered and carry them out late

Cause: Behaviour.unanswered was honoured on the virtual clock only. The stand-in worker of the tests with real processes answered each order, so no soak could have workers that are silent towards some orders. Change: it leaves that share of its orders without a response, and carries each out after LATE_EXECUTION_SECONDS unless that incarnation is down by then.

--- a/bergamotcourse/tests/platform/cluster.py
+++ b/bergamotcourse/tests/platform/cluster.py
@@ -198,7 +198,7 @@
 
     async def add_worker(self, node: Node) -> None:
         """Start the stand-in worker beside an agent."""
-        worker = HttpWorker(self.make_upstream(), node.zone)
+        worker = HttpWorker(self.make_upstream(), self.nursery, node.zone)
         self.workers[node.name] = worker
         port = await self.serve(worker.handle)
         host, port = await self.expose_address(
--- a/bergamotcourse/tests/platform/standins.py
+++ b/bergamotcourse/tests/platform/standins.py
@@ -11,7 +11,10 @@
     StartOrder,
     StartVerdict,
 )
-from bergamotcourse.standins.order_upstream import OrderUpstream
+from bergamotcourse.standins.order_upstream import (
+    LATE_EXECUTION_SECONDS,
+    OrderUpstream,
+)
 from bergamotcourse.state.job_spec import TaskName
 from bergamotcourse.transport.http import HttpRequest, HttpResponse
 from bergamotcourse.transport.http_client import HttpClient
@@ -100,6 +103,7 @@
     """Stands in for a worker: serves orders over HTTP, and reports to its agent.
 
     Attributes:
+        nursery: Runs the orders that are carried out late.
         zone: The zone that it reports.
         life_by_connection: The incarnation that accepted each connection, which is
             not served after that incarnation.
@@ -107,8 +111,9 @@
             it is draining.
     """
 
-    def __init__(self, upstream: OrderUpstream, zone="north"):
+    def __init__(self, upstream: OrderUpstream, nursery: trio.Nursery, zone="north"):
         self.upstream = upstream
+        self.nursery = nursery
         self.zone = zone
         self.address = ""
         self.life_by_connection = {}
@@ -126,7 +131,20 @@
         body = msgspec.json.decode(request.body)
         if request.header("bergamotcourse-expected-instance") != self.upstream.id:
             return HttpResponse(421)
-        match request.target.rpartition("/")[2]:
+        order = request.target.rpartition("/")[2]
+        if life.rng.random() < life.behaviour.unanswered:
+            # The client's disconnect cancels this handler, but not the order.
+            self.nursery.start_soon(self.carry_out_late, life, order, body)
+            await trio.sleep_forever()
+        return await self.carry_out(order, body)
+
+    async def carry_out_late(self, life, order, body):
+        await trio.sleep(life.rng.uniform(*LATE_EXECUTION_SECONDS))
+        if not life.down:
+            await self.carry_out(order, body)
+
+    async def carry_out(self, order, body):
+        match order:
             case "run-start":
                 return self.start(body)
             case "run-stop":
