--- a/bergamotcourse/tests/platform/standins.py
+++ b/bergamotcourse/tests/platform/standins.py
@@ -7,6 +7,7 @@
 
 from bergamotcourse.protocol.upstream_orders import (
     HoldFailure,
+    Holding,
     RunKey,
     StartOrder,
     StartVerdict,
@@ -180,14 +181,15 @@
         until = None if until is None else until / 1000
         life = self.upstream
         holding = life.handle_hold(noted, until, token)
-        if isinstance(holding, HoldFailure):
-            return self.answer(409, reason="fence")
-        if not holding.ended and body.get("wait_ms"):
+        is_held = isinstance(holding, Holding)
+        if is_held and not holding.ended and body.get("wait_ms"):
             with trio.move_on_after(body["wait_ms"] / 1000):
                 await life.changed.park()
             if life.down:
                 await trio.sleep_forever()
             holding = life.handle_hold(noted, None, token)
+        if isinstance(holding, HoldFailure):
+            return self.answer(409, reason="fence")
         running = [
             [run.key.task, run.key.number, "", round(run.progress * 100)]
             for run in holding.running
--- a/bergamotcourse/tests/platform/test_standins.py
+++ b/bergamotcourse/tests/platform/test_standins.py
@@ -51,3 +51,19 @@
             assert len(upstream.history) == runs
 
         run_with_worker(main)
+
+
+class TestHold:
+    def test_hold_is_refused_if_a_newer_agent_came_while_it_waited(self):
+        async def main(worker):
+            async def replace_agent():
+                await trio.sleep(0.05)
+                worker.upstream.handle_hold(0, None, token=2)
+
+            worker.nursery.start_soon(replace_agent)
+            body = {"fencing_token": 1, "wait_ms": 100}
+            return await worker.handle(make_request("hold", body))
+
+        response = run_with_worker(main)
+        assert response.status == 409
+        assert msgspec.json.decode(response.body)["reason"] == "fence"
