Check in the fault soak that a failed job had used up a task's attempts

Cause: the verdict never looked at jobs answered as failed, so a soak would not have reported a job of which no task had failed. Change: an attempt answered as failed needs a task of which max_attempts runs had ended failed by then. The number is that of the cluster's routes, now a constant.

--- a/bergamotcourse/tests/platform/cluster.py
+++ b/bergamotcourse/tests/platform/cluster.py
@@ -26,6 +26,7 @@
 CAPACITY = Resources(32000, 65536, 0)
 TASK_CPU = 3100
 TASK_MEM_MB = 64
+MAX_TASK_ATTEMPTS = 3
 REPORT_SECONDS = 0.3
 CALLER_DEADLINE_MS = 20000
 CALL_TIMEOUT_SECONDS = 25.0
@@ -43,7 +44,7 @@
         "host": "one.example",
         "path_prefix": prefix,
         "service": "votes",
-        "max_attempts": 3,
+        "max_attempts": MAX_TASK_ATTEMPTS,
         "slack_factor": 20.0,
         "target_latency_ms": 5000,
     }
--- a/bergamotcourse/tests/platform/soak/test_verdict.py
+++ b/bergamotcourse/tests/platform/soak/test_verdict.py
@@ -7,6 +7,7 @@
 from bergamotcourse.standins.order_upstream import Run
 from bergamotcourse.state.job_spec import TaskName
 from bergamotcourse.state.resources import Resources
+from bergamotcourse.tests.platform.cluster import MAX_TASK_ATTEMPTS
 from bergamotcourse.tests.platform.soak.records import (
     Attempt,
     CallerOutcome,
@@ -141,6 +142,38 @@
         [line] = find_violations(records, both[:1])
         assert line.startswith("succeeded with 1 of 2")
 
+    @pytest.mark.parametrize(
+        "runs, failures",
+        [
+            ([(0, EndKind.LAPSED, 1.0)] * MAX_TASK_ATTEMPTS, 0),
+            ([(0, EndKind.DONE, 1.0)] * MAX_TASK_ATTEMPTS, 0),
+            (
+                [(0, EndKind.FAILED, 1.0)] * (MAX_TASK_ATTEMPTS - 1),
+                MAX_TASK_ATTEMPTS - 1,
+            ),
+            ([(task, EndKind.FAILED, 1.0) for task in range(MAX_TASK_ATTEMPTS)], 1),
+            ([(0, EndKind.FAILED, 1.0 + 2 * n) for n in range(MAX_TASK_ATTEMPTS)], 2),
+            ([], 0),
+        ],
+        ids=["lapsed", "done", "too few", "of several tasks", "too late", "no run"],
+    )
+    def test_failure_before_a_task_used_up_its_attempts_is_reported(
+        self, runs, failures
+    ):
+        history = [
+            make_run(number, ended_at, ended_at, kind, task)
+            for number, (task, kind, ended_at) in enumerate(runs, 1)
+        ]
+        [line] = find_violations(make_records(CallerOutcome.FAILED), history)
+        assert line.startswith(f"failed after {failures} of {MAX_TASK_ATTEMPTS} ")
+
+    def test_failure_after_a_task_used_up_its_attempts_is_valid(self):
+        history = [
+            make_run(number, number / 2, number / 2 + 0.5, EndKind.FAILED)
+            for number in range(MAX_TASK_ATTEMPTS)
+        ]
+        assert find_violations(make_records(CallerOutcome.FAILED), history) == []
+
     def test_cut_without_matching_disruption_is_reported(self):
         history = [make_run(1, 0.0, 1.0)]
         [line] = find_violations(make_records(CallerOutcome.CUT), history)
--- a/bergamotcourse/tests/platform/soak/verdict.py
+++ b/bergamotcourse/tests/platform/soak/verdict.py
@@ -5,6 +5,7 @@
 from bergamotcourse.protocol.upstream_orders import EndKind
 from bergamotcourse.standins.order_upstream import Run, overlaps
 from bergamotcourse.state.job_spec import job_id_of_task
+from bergamotcourse.tests.platform.cluster import MAX_TASK_ATTEMPTS
 from bergamotcourse.tests.platform.soak.records import (
     Attempt,
     CallerOutcome,
@@ -26,6 +27,7 @@
         *find_overlaps(history),
         *find_false_refusals(records.attempts, history),
         *find_false_successes(records, history),
+        *find_false_failures(records.attempts, history),
         *find_unsubmitted_jobs(records, history),
         *find_late_starts(history),
         *find_evacuated_starts(records, history),
@@ -69,6 +71,28 @@
     ]
 
 
+def find_false_failures(attempts: list[Attempt], history: list[Run]) -> list[str]:
+    """Return the jobs reported as failed before any task had used up its attempts."""
+    failed = [run for run in history if run.kind is EndKind.FAILED]
+    lines = []
+    for one in attempts:
+        if one.outcome is not CallerOutcome.FAILED:
+            continue
+        failures = Counter(
+            run.key.task
+            for run in failed
+            if job_id_of_task(run.key.task) == one.job
+            if run.ended_at <= one.ended_at
+        )
+        most = max(failures.values(), default=0)
+        if most < MAX_TASK_ATTEMPTS:
+            lines.append(
+                f"failed after {most} of {MAX_TASK_ATTEMPTS} failed runs of a task: "
+                f"{one.job} at {one.entry}"
+            )
+    return lines
+
+
 def find_unsubmitted_jobs(records: Records, history: list[Run]) -> list[str]:
     """Return the jobs that ran although no caller submitted them."""
     ran = {job_id_of_task(run.key.task) for run in history}
