Let all workers delay orders in a variant of the fault soak

Cause: no fault of the soak left orders unanswered at many workers at once while their connections worked. The draws of the other variants are as before. Seed 1306 is a test, which fails until the product no longer fails jobs whose tasks have not failed.

--- a/bergamotcourse/tests/platform/soak/__main__.py
+++ b/bergamotcourse/tests/platform/soak/__main__.py
@@ -22,6 +22,9 @@
 @click.option("--keeps-ids", is_flag=True, help="Workers restart under the same id.")
 @click.option("--evacuates", is_flag=True, help="Evacuate the zones in turn.")
 @click.option("--deafens", is_flag=True, help="Black-hole all connections at once.")
+@click.option(
+    "--delays-orders", is_flag=True, help="Leave orders of all workers unanswered."
+)
 @click.option(
     "--keep", type=click.Path(path_type=Path), help="Folder in which logs are kept."
 )
@@ -33,6 +36,7 @@
     keeps_ids: bool,
     evacuates: bool,
     deafens: bool,
+    delays_orders: bool,
     keep: Path | None,
 ):
     """Inject random faults into the real programs and check their guarantees."""
@@ -40,7 +44,7 @@
     with tempfile.TemporaryDirectory() as folder:
         numbers = range(first, first + seeds)
         place = keep or Path(folder)
-        variant = Variant(keeps_ids, evacuates, deafens)
+        variant = Variant(keeps_ids, evacuates, deafens, delays_orders)
         results = trio.run(run_all, numbers, seconds, jobs, variant, place)
     faulty = [result.seed for result in results if result.violations]
     click.echo(f"{len(results)} soaks, with violations: {faulty or 'none'}")
--- a/bergamotcourse/tests/platform/soak/callers.py
+++ b/bergamotcourse/tests/platform/soak/callers.py
@@ -15,6 +15,10 @@
 """Shortest delay after which the platform's callers retry an interrupted request."""
 
 CALLER_TIMEOUT_SECONDS = 4.0
+PATIENT_CALLER_TIMEOUT_SECONDS = 8.0
+"""Timeout where workers delay orders, so that a task can be interrupted several times
+before its job times out."""
+
 MAX_ATTEMPTS = 3
 SUBMIT_INTERVAL_SECONDS = (0.0, 0.25)
 MAX_TASKS = 6
@@ -33,9 +37,17 @@
 
     Attributes:
         stopping: Whether callers stop submitting new jobs.
+        timeout: Seconds for which they wait for a response.
     """
 
-    def __init__(self, cluster: ProxiedCluster, records: Records, rng: random.Random):
+    def __init__(
+        self,
+        cluster: ProxiedCluster,
+        records: Records,
+        rng: random.Random,
+        timeout: float = CALLER_TIMEOUT_SECONDS,
+    ):
+        self.timeout = timeout
         self.cluster = cluster
         self.records = records
         self.rng = rng
@@ -55,6 +67,7 @@
 
     def __init__(self, callers: Callers, rng: random.Random):
         self.callers = callers
+        self.timeout = callers.timeout
         self.records = callers.records
         self.rng = rng
         self.entry = ""
@@ -70,9 +83,7 @@
     async def _submit_job(self, number: int) -> None:
         work = self.rng.choice(TASK_SECONDS)
         tasks = self.rng.randint(1, MAX_TASKS)
-        request = make_job(
-            number, work, tasks, caller_ms=int(CALLER_TIMEOUT_SECONDS * 1000)
-        )
+        request = make_job(number, work, tasks, caller_ms=int(self.timeout * 1000))
         job = request.target.rpartition("/")[2]
         self.records.tasks[job] = tasks
         for _ in range(MAX_ATTEMPTS):
@@ -85,7 +96,7 @@
         if self.client is None or not self.client.idle:
             await self._choose_entry()
         sent_at = trio.current_time()
-        answer = await self.client.request(request, CALLER_TIMEOUT_SECONDS + 1.0)
+        answer = await self.client.request(request, self.timeout + 1.0)
         outcome, status = classify_response(answer)
         if outcome not in (
             CallerOutcome.SUCCEEDED,
--- a/bergamotcourse/tests/platform/soak/faults.py
+++ b/bergamotcourse/tests/platform/soak/faults.py
@@ -30,6 +30,8 @@
 FAULT_INTERVAL_SECONDS = (0.05, 1.0)
 FAULT_SECONDS = (0.05, 2.5)
 EVACUATION_SECONDS = (0.5, 9.0)
+DELAYED_ORDERS_SECONDS = (0.5, 3.0)
+DELAYED_ORDERS_SHARE = (0.5, 0.8)
 DELAY_SECONDS = (0.01, 0.4)
 CLOCK_RATES = (0.98, 1.02)
 STOP_TIMEOUT_SECONDS = 8.0
@@ -81,6 +83,8 @@
         async with trio.open_nursery() as nursery:
             if self.variant.evacuates:
                 nursery.start_soon(self._evacuate_in_turn, ends_at)
+            if self.variant.delays_orders:
+                nursery.start_soon(self._delay_orders_in_turn, ends_at)
             for _ in range(CONCURRENT_FAULTS):
                 rng = random.Random(self.rng.getrandbits(64))
                 nursery.start_soon(self._inject_in_sequence, ends_at, rng)
@@ -232,6 +236,19 @@
         await trio.sleep(rng.uniform(*FAULT_SECONDS))
         upstream.behaviour = Behaviour()
 
+    async def _delay_orders_in_turn(self, ends_at: float) -> None:
+        """Leave random shares of the orders of all workers unanswered in turn."""
+        rng = random.Random(self.rng.getrandbits(64))
+        while trio.current_time() < ends_at:
+            self.records.count("delay_orders")
+            self._leave_unanswered(rng.uniform(*DELAYED_ORDERS_SHARE))
+            await trio.sleep(rng.uniform(*DELAYED_ORDERS_SECONDS))
+        self._leave_unanswered(0.0)
+
+    def _leave_unanswered(self, share: float) -> None:
+        for worker in self.cluster.workers.values():
+            worker.upstream.behaviour.unanswered = share
+
     async def _replace_worker(self, rng: random.Random) -> None:
         """Drain or crash a worker, and start a new incarnation at its address."""
         worker = rng.choice(sorted(self.cluster.workers.items()))[1]
--- a/bergamotcourse/tests/platform/soak/records.py
+++ b/bergamotcourse/tests/platform/soak/records.py
@@ -51,11 +51,14 @@
         keeps_ids: Workers restart under the same id.
         evacuates: The processes run in two zones, which are evacuated in turn.
         deafens: All connections to the store and to workers are black-holed at once.
+        delays_orders: All workers at once leave a share of their orders unanswered,
+            and carry them out late.
     """
 
     keeps_ids: bool = False
     evacuates: bool = False
     deafens: bool = False
+    delays_orders: bool = False
 
 
 DEFAULT_VARIANT = Variant()
--- a/bergamotcourse/tests/platform/soak/run.py
+++ b/bergamotcourse/tests/platform/soak/run.py
@@ -7,7 +7,11 @@
 import trio
 
 from bergamotcourse.tests.platform.cluster import make_job, send_request
-from bergamotcourse.tests.platform.soak.callers import Callers
+from bergamotcourse.tests.platform.soak.callers import (
+    CALLER_TIMEOUT_SECONDS,
+    PATIENT_CALLER_TIMEOUT_SECONDS,
+    Callers,
+)
 from bergamotcourse.tests.platform.soak.faults import Faults
 from bergamotcourse.tests.platform.soak.proxied_cluster import ProxiedCluster
 from bergamotcourse.tests.platform.soak.records import DEFAULT_VARIANT, Records, Variant
@@ -76,7 +80,9 @@
     records = Records()
     await cluster.start(ENTRIES, AGENTS)
     await cluster.open_fronts()
-    callers = Callers(cluster, records, rng)
+    patient = PATIENT_CALLER_TIMEOUT_SECONDS
+    timeout = patient if variant.delays_orders else CALLER_TIMEOUT_SECONDS
+    callers = Callers(cluster, records, rng, timeout)
     async with trio.open_nursery() as nursery:
         names = [node.name for node in cluster.entries()]
         nursery.start_soon(record_stalls, records, names)
--- a/bergamotcourse/tests/platform/soak/test_soak.py
+++ b/bergamotcourse/tests/platform/soak/test_soak.py
@@ -37,3 +37,9 @@
         result = trio.run(run_soak, seed, 8.0, tmp_path, Variant(deafens=True))
         assert result.summary["faults"]["deafen"]
         assert result.violations == []
+
+    @pytest.mark.parametrize("seed", [1306])
+    def test_no_violations_while_workers_delay_orders(self, seed, tmp_path):
+        result = trio.run(run_soak, seed, 10.0, tmp_path, Variant(delays_orders=True))
+        assert result.summary["faults"]["delay_orders"]
+        assert result.violations == []
