Send another trial where an ejected agent's trial had no result

Callers of the session path saw a healthy agent with free slots left out for good.

Cause: a trial whose result never came counted as in flight for ever: its agent restarted or fell silent, or its caller left. Change: a trial is lost once the entry has no task in flight there; the next one follows after the interval that was in force. Result: the three tests of TestLostTrials fail before and pass now; the one with a result passes before and after.

--- a/bergamotcourse/coordination/ejection.py
+++ b/bergamotcourse/coordination/ejection.py
@@ -100,6 +100,24 @@
             and now >= ejection.next_trial_at
         )
 
+    def discard_lost_trial(self, view: AgentView, service: str, now: float) -> None:
+        """Schedule another trial if the last one is no longer in flight.
+
+        Its task may have ended without a result: its agent restarted or did not answer,
+        or its caller left.
+
+        Args:
+            view: An agent at which this entry has no task of the service in flight.
+            service: The service.
+            now: The time.
+        """
+        ejection = self.current_ejection(view, service)
+        if ejection is not None and ejection.trial_in_flight:
+            ejection.trial_in_flight = False
+            ejection.next_trial_at = now + self._randomized_delay(
+                ejection.trial_interval
+            )
+
     def sent(self, view: AgentView, service: str) -> None:
         """Record a task that was sent; it is a trial if the agent is ejected."""
         ejection = self.current_ejection(view, service)
--- a/bergamotcourse/coordination/routing.py
+++ b/bergamotcourse/coordination/routing.py
@@ -130,9 +130,10 @@
         if not self.ejector.ejections:
             return None
         for view in views:
-            if not view.own_tasks(service) and self.ejector.is_trial_due(
-                view, service, now
-            ):
+            if view.own_tasks(service):
+                continue
+            self.ejector.discard_lost_trial(view, service, now)
+            if self.ejector.is_trial_due(view, service, now):
                 return view
         return None
 
