Refuse no job at once because all upstreams are silent

Callers got 503 within a millisecond for jobs that could have waited, while upstreams left their agents' calls unanswered for some tens of milliseconds.

Cause: a silent upstream offers no capacity, which was read as 'no upstream of the service is known'. Change: only upstreams that answer and offer nothing count as leaving; for others the job waits until its placement deadline, as it does for room. Result: test_job_is_not_refused_at_once_while_all_upstreams_are_silent fails before and passes now.

--- a/bergamotcourse/coordination/jobs/job_order.py
+++ b/bergamotcourse/coordination/jobs/job_order.py
@@ -51,7 +51,7 @@
     if seconds_left < MIN_WORK_SHARE * job.work:
         return Refusal("it cannot be done in the time that is left", RETRY_SECONDS)
     serving = [link for link in links if link.room.service == job.queue.service]
-    serving = [link for link in serving if link.room.capacity.cpu]
+    serving = [link for link in serving if may_accept_tasks(link)]
     if not serving and entry_age < DISCOVERY_SECONDS:
         return None
     if not serving:
@@ -61,6 +61,16 @@
     return None
 
 
+def may_accept_tasks(link: AgentLink) -> bool:
+    """Return whether an agent accepts tasks, or may do so at any moment.
+
+    An upstream that does not answer may answer again, and one on trial gets its next
+    task soon. One that answers and offers no capacity is leaving.
+    """
+    room = link.room
+    return bool(room.capacity.cpu) or room.on_trial or not room.life
+
+
 def can_ever_run(job: JobRun, step, links: list[AgentLink]) -> bool:
     """Return whether some upstream, if idle and healthy, could run a task of a step."""
     return any(
