Count no silence of an upstream as run time of its tasks

Cause: an end is known when the next list arrives. If the upstream did not answer meanwhile, the silence counted as run time: a task of 150 ms as 563 ms, against the estimates of its queue and the pace of its upstream. Change: the run time is unknown if the last list before is over two long polls old. Result: test_silence_is_not_counted_as_run_time fails before and passes now.

--- a/bergamotcourse/coordination/jobs/holding_reconciler.py
+++ b/bergamotcourse/coordination/jobs/holding_reconciler.py
@@ -2,6 +2,7 @@
 
 from bergamotcourse.coordination.event_log import EventLog
 from bergamotcourse.coordination.jobs.former_ends import FormerEnds
+from bergamotcourse.coordination.jobs.lease_terms import HOLD_LONG_POLL_SECONDS
 from bergamotcourse.coordination.jobs.run_registry import RunRegistry
 from bergamotcourse.coordination.jobs.task_runs import PlacedRun
 from bergamotcourse.coordination.jobs.upstream_health import UpstreamHealth
@@ -11,6 +12,9 @@
 from bergamotcourse.protocol.upstream_orders import EndedRun, EndKind, Holding
 from bergamotcourse.state.job_spec import job_id_of_task
 
+MAX_UNCERTAIN_SECONDS = 2 * HOLD_LONG_POLL_SECONDS
+"""Longest time between two lists for which a run that ended in it has a run time."""
+
 OUTCOME_BY_END_KIND = {
     EndKind.DONE: RunOutcome.DONE,
     EndKind.FAILED: RunOutcome.FAILED,
@@ -53,7 +57,8 @@
         for ended in holding.ended:
             if ended.number > life.processed_ends:
                 life.processed_ends = ended.number
-                self._handle_run_end(ended, health)
+                self._handle_run_end(ended, life, health)
+        life.listed_at = self.timers.now()
         listed = {running.key: running for running in holding.running}
         life.listed_runs = len(listed)
         now = self.timers.now()
@@ -81,18 +86,32 @@
         self.former_ends.record_given_up(run.key, run.entry)
         self.registry.finish(run, outcome, why)
 
-    def _handle_run_end(self, ended: EndedRun, health: UpstreamHealth) -> None:
+    def _handle_run_end(
+        self, ended: EndedRun, life: UpstreamLife, health: UpstreamHealth
+    ) -> None:
         run = self.registry.runs.get(ended.key)
         if run is None:
             self._handle_late_end(ended)
             return
-        ran = self.timers.now() - run.started_at if run.started_at else 0.0
+        ran = self._run_seconds(run, life)
         health.record_end(ended.kind, run, ran, self.timers.now())
         outcome = OUTCOME_BY_END_KIND[ended.kind]
         if run.is_moving and outcome is RunOutcome.STOPPED:
             outcome = RunOutcome.MOVED
         self.registry.finish(run, outcome, ended.kind.value, ran)
 
+    def _run_seconds(self, run: PlacedRun, life: UpstreamLife) -> float:
+        """Return for how long a run that is listed as ended ran; 0 if unknown.
+
+        It ended at any time since the last list, which is long ago if the upstream did
+        not answer meanwhile.
+        """
+        now = self.timers.now()
+        uncertain = now - max(run.started_at, life.listed_at)
+        if not run.started_at or uncertain > MAX_UNCERTAIN_SECONDS:
+            return 0.0
+        return now - run.started_at
+
     def _handle_late_end(self, ended: EndedRun) -> None:
         """Store the end of a run without an owner here, and report it if it is done.
 
--- a/bergamotcourse/coordination/jobs/upstream_life.py
+++ b/bergamotcourse/coordination/jobs/upstream_life.py
@@ -35,6 +35,7 @@
         fenced: It takes orders from a later process and refuses those of this one.
         listed_runs: Number of runs in its last list, including those of earlier
             processes.
+        listed_at: When its last list arrived.
     """
 
     report: UpstreamReport
@@ -48,6 +49,7 @@
     silent: bool = False
     fenced: bool = False
     listed_runs: int = 0
+    listed_at: float = 0.0
 
     def record_failed_hold(self, now: float) -> bool:
         """Record an unanswered hold; return whether the upstream became silent now."""
