Tell the life of an upstream by a checksum in messages

Change: a checksum of 16 bits, three bytes. If two lives of an upstream share one, a task that crashed the first is not delayed by it.

--- a/bergamotcourse/coordination/jobs/agent_link.py
+++ b/bergamotcourse/coordination/jobs/agent_link.py
@@ -19,7 +19,7 @@
     CONTACT_LOST_SECONDS,
     FIRST_PLACEMENT_TIMEOUT_SECONDS,
 )
-from bergamotcourse.ids import LinkAddress
+from bergamotcourse.ids import NO_LIFE, LifeChecksum, LinkAddress
 from bergamotcourse.protocol.task_messages import (
     AgentRoom,
     AgentTurn,
@@ -27,7 +27,7 @@
     TaskEnded,
     WithdrawTask,
 )
-from bergamotcourse.protocol.upstream_orders import LifeKey, RunKey
+from bergamotcourse.protocol.upstream_orders import RunKey
 from bergamotcourse.state.resources import NO_RESOURCES, Resources
 
 MAX_MISSED_HEARTBEATS = 2
@@ -55,8 +55,8 @@
         handshake_unanswered: Whether the agent left such a run unanswered and has sent
             nothing since.
         room: Latest load that the agent has reported.
-        life: The life in which the agent's upstream last answered; ``None`` before the
-            agent has reported one.
+        life: The life in which the agent's upstream last answered; ``NO_LIFE`` before
+            the agent has reported one.
         life_reported_at: When the agent last reported that this life answers.
         largest_capacity: Largest capacity that its upstream has reported. The current
             one may be smaller for a time, or be withheld during a trial.
@@ -85,7 +85,7 @@
     handshake_started_at: float | None = None
     handshake_unanswered: bool = False
     room: AgentRoom | None = None
-    life: LifeKey | None = None
+    life: LifeChecksum = NO_LIFE
     life_reported_at: float = 0.0
     largest_capacity: Resources = NO_RESOURCES
     outgoing: OutgoingStream[PlaceTask | WithdrawTask] = field(
--- a/bergamotcourse/coordination/jobs/executor.py
+++ b/bergamotcourse/coordination/jobs/executor.py
@@ -34,7 +34,7 @@
 from bergamotcourse.coordination.jobs.upstream_health import UpstreamHealth
 from bergamotcourse.coordination.jobs.upstream_life import UpstreamLife
 from bergamotcourse.coordination.timers import Timers
-from bergamotcourse.ids import LinkAddress
+from bergamotcourse.ids import NO_LIFE, LifeChecksum, LinkAddress
 from bergamotcourse.protocol.task_messages import PlaceTask, RunOutcome
 from bergamotcourse.protocol.upstream_orders import (
     HoldFailure,
@@ -254,10 +254,10 @@
             return NO_RESOURCES
         return self.life.report.capacity
 
-    def answering_life(self) -> LifeKey | None:
-        """Return the upstream's life, or ``None`` while it does not answer."""
+    def answering_life(self) -> LifeChecksum:
+        """Return the upstream's life, or ``NO_LIFE`` while it does not answer."""
         answers = self.life is not None and not self.life.silent
-        return self.life.report.life if answers else None
+        return self.life.report.life.checksum() if answers else NO_LIFE
 
     # Queue and starts.
 
@@ -506,7 +506,7 @@
         silent = self.life is None or self.life.silent
         if not silent or now < lapses_at:
             return
-        life = self.life.report.life if self.life else None
+        life = self.life.report.life.checksum() if self.life else NO_LIFE
         for run in self.registry.all():
             if run.occupies_room:
                 self.reconciler.give_up(run, "its lease lapsed", life)
@@ -594,7 +594,7 @@
                 run,
                 outcome,
                 "the upstream is gone",
-                interrupted=life.report.life if crashed else None,
+                interrupted=life.report.life.checksum() if crashed else NO_LIFE,
             )
         self.registry.room_changed()
 
--- a/bergamotcourse/coordination/jobs/holding_reconciler.py
+++ b/bergamotcourse/coordination/jobs/holding_reconciler.py
@@ -8,12 +8,12 @@
 from bergamotcourse.coordination.jobs.upstream_health import UpstreamHealth
 from bergamotcourse.coordination.jobs.upstream_life import UpstreamLife
 from bergamotcourse.coordination.timers import Timers
+from bergamotcourse.ids import NO_LIFE, LifeChecksum
 from bergamotcourse.protocol.task_messages import RunOutcome, TaskEnded
 from bergamotcourse.protocol.upstream_orders import (
     EndedRun,
     EndKind,
     Holding,
-    LifeKey,
 )
 from bergamotcourse.state.job_spec import job_id_of_task
 
@@ -86,16 +86,16 @@
         self.registry.finish(run, OUTCOME_BY_END_KIND[kind], kind.value)
         return True
 
-    def give_up(self, run: PlacedRun, why: str, silent: LifeKey | None) -> None:
+    def give_up(self, run: PlacedRun, why: str, silent: LifeChecksum) -> None:
         """Finish a run whose end is not known yet and may be listed later.
 
         Args:
             run: The run.
             why: Why, for the log and the entry.
-            silent: The life of the upstream that does not answer; ``None`` if unknown.
+            silent: The life of the upstream that does not answer.
         """
         self.former_ends.record_given_up(run.key, run.entry)
-        interrupted = silent if run.started_at else None
+        interrupted = silent if run.started_at else NO_LIFE
         self.registry.finish(run, RunOutcome.LOST, why, interrupted=interrupted)
 
     def _handle_run_end(
--- a/bergamotcourse/coordination/jobs/interruptions.py
+++ b/bergamotcourse/coordination/jobs/interruptions.py
@@ -12,8 +12,8 @@
 from dataclasses import dataclass, field
 
 from bergamotcourse.coordination.jobs.agent_link import AgentLink
+from bergamotcourse.ids import LifeChecksum
 from bergamotcourse.protocol.task_messages import RunOutcome, TaskEnded
-from bergamotcourse.protocol.upstream_orders import LifeKey
 
 UNDELAYED_INTERRUPTIONS = 1
 """Interruptions after which a task is placed again at once. The first is more likely
@@ -36,7 +36,7 @@
     """
 
     link: AgentLink
-    life: LifeKey
+    life: LifeChecksum
     crashed: bool
     at: float
 
--- a/bergamotcourse/coordination/jobs/job_dispatcher.py
+++ b/bergamotcourse/coordination/jobs/job_dispatcher.py
@@ -28,6 +28,7 @@
 from bergamotcourse.coordination.jobs.rack_demand import RackDemand
 from bergamotcourse.coordination.jobs.work_estimates import WorkEstimates
 from bergamotcourse.coordination.timers import Timers
+from bergamotcourse.ids import NO_LIFE
 from bergamotcourse.protocol.task_messages import (
     NEVER_STARTED_OUTCOMES,
     PlaceTask,
@@ -234,7 +235,7 @@
                 )
             self._complete_task(job, task)
             return
-        if ended.interrupted is not None:
+        if ended.interrupted != NO_LIFE:
             # Shows neither that the task has failed, nor whose fault it was.
             task.avoid.add(link.name)
             task.interruptions.add(link, ended, self.timers.now())
--- a/bergamotcourse/coordination/jobs/run_registry.py
+++ b/bergamotcourse/coordination/jobs/run_registry.py
@@ -5,9 +5,9 @@
 
 from bergamotcourse.coordination.event_log import EventLog
 from bergamotcourse.coordination.jobs.task_runs import PlacedRun, RunState
-from bergamotcourse.ids import LinkAddress
+from bergamotcourse.ids import NO_LIFE, LifeChecksum, LinkAddress
 from bergamotcourse.protocol.task_messages import RunOutcome, TaskEnded
-from bergamotcourse.protocol.upstream_orders import LifeKey, RunKey
+from bergamotcourse.protocol.upstream_orders import RunKey
 from bergamotcourse.state.resources import NO_RESOURCES, Resources
 
 QUEUE_LOOKAHEAD_RUNS = 4
@@ -93,7 +93,7 @@
         outcome: RunOutcome,
         detail: str,
         ran: float = 0.0,
-        interrupted: LifeKey | None = None,
+        interrupted: LifeChecksum = NO_LIFE,
     ) -> None:
         """Remove a run, free its room, and report its outcome.
 
--- a/bergamotcourse/ids.py
+++ b/bergamotcourse/ids.py
@@ -39,6 +39,11 @@
 Token = NewType("Token", int)
 """Token issued by an agent; a start must carry a recent one."""
 
+LifeChecksum = NewType("LifeChecksum", int)
+"""Tells one life of an upstream from others in messages."""
+
+NO_LIFE = LifeChecksum(0)
+
 
 def submission_id(team: TeamId, key: str) -> SubmissionId:
     """Return the identity of the submission of a team under an idempotency key."""
--- a/bergamotcourse/protocol/task_messages.py
+++ b/bergamotcourse/protocol/task_messages.py
@@ -7,8 +7,9 @@
 
 from enum import Enum
 
+from bergamotcourse.ids import NO_LIFE, LifeChecksum
 from bergamotcourse.protocol.message import Message
-from bergamotcourse.protocol.upstream_orders import LifeKey, RunKey
+from bergamotcourse.protocol.upstream_orders import RunKey
 from bergamotcourse.state.evacuations import Evacuations
 from bergamotcourse.state.resources import Resources
 
@@ -87,15 +88,16 @@
     Attributes:
         run_seconds: Seconds from its start to its end, 0 if it never started.
         detail: A human-readable reason.
-        interrupted: The life of the upstream that stopped answering, or ended without
-            notice, while the run was in progress; ``None`` if the run ended otherwise.
+        interrupted: Checksum of the life of the upstream that stopped answering, or
+            ended without notice, while the run was in progress; 0 if the run ended
+            otherwise.
     """
 
     key: RunKey
     outcome: RunOutcome
     run_seconds: float = 0.0
     detail: str = ""
-    interrupted: LifeKey | None = None
+    interrupted: LifeChecksum = NO_LIFE
 
 
 class AgentRoom(Message, frozen=True):
@@ -109,7 +111,7 @@
         receiver_committed: The part of ``committed`` that the receiver has placed.
         on_trial: The upstream fails, stalls or delays its runs, so it gets one task at
             a time.
-        life: The current life of the upstream; ``None`` while it does not answer.
+        life: Checksum of the current life of the upstream; 0 while it does not answer.
     """
 
     service: str
@@ -118,7 +120,7 @@
     committed: Resources
     receiver_committed: Resources
     on_trial: bool
-    life: LifeKey | None = None
+    life: LifeChecksum = NO_LIFE
 
 
 class AgentTurn(Message, frozen=True):
--- a/bergamotcourse/protocol/upstream_orders.py
+++ b/bergamotcourse/protocol/upstream_orders.py
@@ -4,6 +4,7 @@
 renewed, and lists the ends of runs until they are acknowledged.
 """
 
+import zlib
 from dataclasses import dataclass
 from enum import Enum
 from typing import NamedTuple, Protocol
@@ -12,6 +13,7 @@
 
 from bergamotcourse.ids import (
     Incarnation,
+    LifeChecksum,
     RackName,
     ServiceName,
     UpstreamId,
@@ -63,6 +65,14 @@
     upstream: UpstreamId
     incarnation: Incarnation
 
+    def checksum(self) -> LifeChecksum:
+        """Return a short number that tells this life from others, and is not 0.
+
+        It takes three bytes in a message, where the id and the incarnation take 25.
+        """
+        name = f"{self.upstream}/{self.incarnation}"
+        return LifeChecksum(1 + zlib.crc32(name.encode()) % 0xFFFF)
+
 
 @dataclass(frozen=True)
 class UpstreamReport:
--- a/bergamotcourse/tests/jobs/test_interruptions.py
+++ b/bergamotcourse/tests/jobs/test_interruptions.py
@@ -14,14 +14,14 @@
     TaskRun,
     TaskState,
 )
-from bergamotcourse.ids import Incarnation, LinkAddress, UpstreamId
+from bergamotcourse.ids import NO_LIFE, LifeChecksum, LinkAddress
 from bergamotcourse.protocol.task_messages import (
     AgentRoom,
     AgentTurn,
     RunOutcome,
     TaskEnded,
 )
-from bergamotcourse.protocol.upstream_orders import EndKind, LifeKey, RunKey
+from bergamotcourse.protocol.upstream_orders import EndKind, RunKey
 from bergamotcourse.state.job_spec import JobId
 from bergamotcourse.state.resources import NO_RESOURCES
 from bergamotcourse.tests.jobs.fleets import run_fleet
@@ -224,13 +224,13 @@
                 if isinstance(message, AgentTurn):
                     items = [
                         structs.replace(
-                            item, outcome=RunOutcome.CRASHED, interrupted=None
+                            item, outcome=RunOutcome.CRASHED, interrupted=NO_LIFE
                         )
                         if item.interrupted
                         else item
                         for item in message.items
                     ]
-                    room = structs.replace(message.room, life=None)
+                    room = structs.replace(message.room, life=NO_LIFE)
                     message = structs.replace(message, items=items, room=room)
                 handle(sender, message)
 
@@ -277,7 +277,7 @@
         link = AgentLink(LinkAddress("tcp://agent-1"), "agent-1", "zone-1")
         link.begin_session(1, 1)
         interruptions = Interruptions()
-        former, present = (LifeKey(UpstreamId(name), Incarnation(0)) for name in "ab")
+        former, present = LifeChecksum(1), LifeChecksum(2)
         link.receive_turn(make_turn(former, 100), 0.1)
         for number, at in enumerate((1.0, 1.5), 1):
             ended = TaskEnded(RunKey(TASK, number), RunOutcome.LOST, interrupted=former)
