--- a/bergamotcourse/tests/jobs/test_crashing_tasks.py
+++ b/bergamotcourse/tests/jobs/test_crashing_tasks.py
@@ -56,6 +56,18 @@
 
         run_fleet(main, agents=6)
 
+    def test_starts_stay_bounded_while_its_caller_waits_long(self):
+        async def main(fleet):
+            fleet.crashing.add("a.0.0.0")
+            answer = await fleet.submit(
+                "entry-1", job("a", work=2.0), QUEUE, CALLER_TIMEOUT_SECONDS
+            )
+            delays = CALLER_TIMEOUT_SECONDS / interruptions.DELAY_SECONDS
+            assert answer.outcome is JobOutcome.TIMED_OUT
+            assert starts_of(fleet, "a.0.0.0") <= 2 + delays
+
+        run_fleet(main, agents=6)
+
     def test_starts_stay_bounded_if_the_entry_is_lost(self):
         async def main(fleet):
             fleet.crashing.add("a.0.0.0")
--- a/bergamotcourse/tests/jobs/test_interruptions.py
+++ b/bergamotcourse/tests/jobs/test_interruptions.py
@@ -98,7 +98,7 @@
 
 class TestAttempts:
     def test_task_is_not_started_after_its_last_attempt_failed(self):
-        """Guards against an attempt beyond ``max_attempts`` (rule BUDGET).
+        """Guards against an attempt beyond ``max_attempts``.
 
         The upstream lists the first run as failed and its agent acknowledges that, but
         the entry is cut off from the agent and hears it only after it has placed the
