Choose the ports of the tests' processes below those of outgoing connections

By the logs nothing else went wrong. Change: ports are chosen from a range that the kernel gives to no outgoing connection. Result: the 22 tests of the file and of test_end_to_end.py pass; the failure is too rare to show its absence.

--- a/bergamotcourse/tests/fleet.py
+++ b/bergamotcourse/tests/fleet.py
@@ -4,17 +4,24 @@
 """
 
 import json
+import random
 import socket
 import subprocess
 import sys
 import time
 import urllib.error
 import urllib.request
+from contextlib import suppress
 from dataclasses import dataclass, field
 from hashlib import sha256
 from pathlib import Path
 
 WAIT_SECONDS = 30.0
+
+LISTENING_PORTS = range(10_000, 32_768)
+"""Below the ports that the kernel gives to outgoing connections: one of these may take
+a port between its choice and the start of the process that listens there."""
+
 TOKEN = "open-sesame"
 
 MANIFEST = f"""
@@ -47,11 +54,12 @@
     ports: dict[str, int] = field(default_factory=dict)
 
     def port(self, name):
-        """Return the port of a name, which the kernel chose at its first use."""
-        if name not in self.ports:
-            with socket.socket() as probe:
-                probe.bind(("127.0.0.1", 0))
-                self.ports[name] = probe.getsockname()[1]
+        """Return the port of a name, a free one chosen at its first use."""
+        while name not in self.ports:
+            port = random.choice(LISTENING_PORTS)
+            with socket.socket() as probe, suppress(OSError):
+                probe.bind(("127.0.0.1", port))
+                self.ports[name] = port
         return self.ports[name]
 
     def start_process(self, name, *arguments):
