--- a/bergamotcourse/bench/replay/faults.py
+++ b/bergamotcourse/bench/replay/faults.py
@@ -19,9 +19,6 @@
 from bergamotcourse.standins.order_upstream import Behaviour
 from bergamotcourse.virtual.job_fleet import JobFleet
 
-DRAIN_SECONDS = 2.0
-"""Time that a leaving upstream continues to serve after it reports draining."""
-
 
 class FaultInjector:
     """Injects the events of a load into a fleet."""
@@ -45,10 +42,10 @@
                 await self._change_behaviour(event, lambda: Behaviour(unanswered=share))
             case UpstreamLost():
                 await self._replace_upstreams(event)
-            case Leaving():
+            case Leaving(notice=notice, announces=announces):
                 for name in self.agents[: event.upstreams]:
-                    self.fleet.upstreams[name].draining = True
-                await trio.sleep(DRAIN_SECONDS)
+                    self.fleet.drain_upstream(name, notice if announces else None)
+                await trio.sleep(notice)
                 await self._replace_upstreams(event)
             case EntryLost(entries=count, seconds=seconds):
                 await self._restart(self.entries[:count], [], seconds)
--- a/bergamotcourse/bench/replay/load_file.py
+++ b/bergamotcourse/bench/replay/load_file.py
@@ -92,7 +92,14 @@
 
 
 class Leaving(UpstreamEvent, frozen=True, tag="leaving"):
-    """Upstreams drain, stop, and are replaced after ``seconds``."""
+    """Upstreams drain for ``notice`` seconds, stop, and are replaced after ``seconds``.
+
+    Attributes:
+        announces: Whether their reports state the time that is left.
+    """
+
+    notice: Positive = 2.0
+    announces: bool = False
 
 
 class EntryLost(Event, frozen=True, tag="entry-lost"):
@@ -142,6 +149,8 @@
         slots: Number of tasks that an upstream runs concurrently.
         slowest: Run time at the slowest upstream relative to the fastest; the other
             upstreams are spaced evenly between the two.
+        speeds: Speeds of the upstreams relative to the nominal one, assigned in turn;
+            takes precedence over ``slowest``.
         link_mbps: Bandwidth of each entry's link in each direction, in Mbit/s;
             0 means no limit.
     """
@@ -154,6 +163,7 @@
     agents: Count = 10
     slots: Count = 10
     slowest: Positive = 1.0
+    speeds: list[Positive] = []
     link_mbps: Rate = 0.0
     spread: Seconds = 0.44
     error: Share = 0.2
--- a/bergamotcourse/bench/replay/run.py
+++ b/bergamotcourse/bench/replay/run.py
@@ -187,10 +187,13 @@
 
 
 def set_upstream_speeds(fleet: JobFleet, load: Load) -> None:
-    """Set the slowness of the upstreams, evenly spaced from fastest to slowest."""
+    """Set the slowness of each upstream, also for its later lives."""
     last = max(1, len(fleet.upstreams) - 1)
-    for index, upstream in enumerate(fleet.upstreams.values()):
+    for index, (agent, upstream) in enumerate(fleet.upstreams.items()):
         slowness = 1 + (load.slowest - 1) * index / last
+        if load.speeds:
+            slowness = 1 / load.speeds[index % len(load.speeds)]
+        fleet.slowness[agent] = slowness
         upstream.behaviour = Behaviour(slowness=slowness)
 
 
--- a/bergamotcourse/coordination/jobs/policy.py
+++ b/bergamotcourse/coordination/jobs/policy.py
@@ -35,6 +35,14 @@
         keeps_to_share: An entry uses a share of the agents as long as that has room.
         keeps_jobs_together: The tasks of a job are placed at one agent as far as it has
             room.
+        forecasts_admission: A job that cannot be in time, by the forecast of the
+            backlog, is refused at once.
+        weighs_speed: Where upstreams differ in speed, tasks are placed by their
+            expected end.
+        moves_from_leaving: Runs that cannot end before their upstream leaves are
+            stopped, to run elsewhere.
+        balances_callers: Entries close callers' connections so that callers are spread
+            over the entries again.
     """
 
     learns_estimates: bool = True
@@ -50,6 +58,10 @@
     places_near_data: bool = True
     keeps_to_share: bool = True
     keeps_jobs_together: bool = True
+    forecasts_admission: bool = True
+    weighs_speed: bool = True
+    moves_from_leaving: bool = True
+    balances_callers: bool = True
 
     @classmethod
     def without(cls, names: Iterable[str]) -> "JobPolicy":
--- a/bergamotcourse/platform/settings_file.py
+++ b/bergamotcourse/platform/settings_file.py
@@ -73,6 +73,8 @@
         store=parse_endpoint(fields["platform.address"]),
         service=ServiceName(fields.get("service", "")),
         stop_seconds=float(fields.get("bounds.grace_s") or 6),
+        cores=float(fields.get("limits.cpu_share") or 0)
+        * float(fields.get("limits.cpu_cores") or 1),
         remote_factor=float(fields.get("bounds.remote_factor") or REMOTE_FACTOR),
     )
 
--- a/bergamotcourse/protocol/task_messages.py
+++ b/bergamotcourse/protocol/task_messages.py
@@ -115,6 +115,9 @@
         on_trial: The upstream fails, stalls or delays its runs, so it gets one task at
             a time.
         life: Checksum of the current life of the upstream; 0 while it does not answer.
+        slowness_percent: Run times at the upstream in percent of the estimates, as
+            learnt in its current life; 0 if unknown.
+        cold_ms: Milliseconds for which the upstream is still slow after its start.
     """
 
     service: str
@@ -124,6 +127,8 @@
     receiver_committed: Resources
     on_trial: bool
     life: LifeChecksum = NO_LIFE
+    slowness_percent: int = 0
+    cold_ms: int = 0
 
 
 class AgentTurn(Message, frozen=True):
@@ -209,6 +214,8 @@
         config: The version of the configuration in force if the sender is an entry.
         wants_reply: Whether the receiver must reply with a ``Hello`` of its own.
         evacuations: The zone evacuations that the sender knows.
+        zone: Zone of the sender if it is an entry; empty if it does not say.
+        short_of_cpu: The sender is an entry that sheds load for lack of processor time.
     """
 
     agent: bool
@@ -217,6 +224,8 @@
     config: int
     wants_reply: bool
     evacuations: Evacuations = Evacuations()
+    zone: str = ""
+    short_of_cpu: bool = False
 
 
 class ConfigWanted(Message, frozen=True):
--- a/bergamotcourse/protocol/upstream_orders.py
+++ b/bergamotcourse/protocol/upstream_orders.py
@@ -84,6 +84,9 @@
         sequence: Increases with each report of one life.
         clock: Seconds on the upstream's monotonic clock.
         incarnation: Increases each time the upstream starts under this id.
+        remaining_seconds: Least time until a draining upstream leaves and ends all its
+            runs; ``None`` if it has not announced one.
+        cold_seconds: Time for which its runs still take longer after its start.
     """
 
     id: UpstreamId
@@ -96,6 +99,8 @@
     sequence: int
     clock: float
     incarnation: Incarnation = Incarnation(0)
+    remaining_seconds: float | None = None
+    cold_seconds: float = 0.0
 
     @property
     def life(self) -> LifeKey:
--- a/bergamotcourse/standins/order_upstream.py
+++ b/bergamotcourse/standins/order_upstream.py
@@ -101,6 +101,7 @@
         changed: Notified of each end and of a crash.
         enforces_capacity: Whether it refuses runs that exceed its capacity.
         on_start: Called with each run that it starts.
+        leaves_at: When it leaves, on trio's clock; ``None`` if it does not announce it.
     """
 
     def __init__(
@@ -139,6 +140,7 @@
         self.changed = trio.lowlevel.ParkingLot()
         self.enforces_capacity = True
         self.on_start: Callable[[Run], None] = lambda _run: None
+        self.leaves_at: float | None = None
 
     async def run(self) -> None:
         """Advance the runs until cancelled or down."""
@@ -167,8 +169,14 @@
             sequence=self.reports,
             clock=self.clock(),
             incarnation=self.incarnation,
+            remaining_seconds=self._remaining_seconds(),
         )
 
+    def _remaining_seconds(self) -> float | None:
+        if self.leaves_at is None:
+            return None
+        return max(0.0, self.leaves_at - trio.current_time())
+
     def crash(self) -> None:
         """Go down at once and end all runs."""
         self.advance(0.0)
--- a/bergamotcourse/state/node_settings.py
+++ b/bergamotcourse/state/node_settings.py
@@ -38,6 +38,8 @@
         store: Address of the platform's store.
         service: Service of the upstream beside an agent; empty at an entry.
         stop_seconds: Seconds from the stop signal until the process is killed.
+        cores: Processor time that the process may use, in cores of average speed; 0 if
+            the platform does not specify it.
         remote_factor: Duration of a task away from its data, as a multiple of its
             duration near the data.
     """
@@ -52,4 +54,5 @@
     store: Endpoint
     service: ServiceName
     stop_seconds: float
+    cores: float = 0.0
     remote_factor: float = REMOTE_FACTOR
--- a/bergamotcourse/virtual/job_fleet.py
+++ b/bergamotcourse/virtual/job_fleet.py
@@ -18,6 +18,7 @@
 from bergamotcourse.protocol.mailer import Mailer
 from bergamotcourse.protocol.task_messages import AgentTurn, Farewell
 from bergamotcourse.standins.order_upstream import (
+    Behaviour,
     OrderUpstream,
     Run,
     StandInPort,
@@ -197,15 +198,20 @@
 
     async def _receive_reports(self) -> None:
         while True:
-            upstream = self.fleet.upstreams[self.name]
             await self.pause.wait_until_thawed()
-            if not upstream.down and self.name not in self.fleet.cut_upstreams:
-                before = self.executor.refusal(), self.executor.capacity()
-                self.executor.handle_upstream_report(upstream.report())
-                if before != (self.executor.refusal(), self.executor.capacity()):
-                    self.contacts.notify_all_entries()
+            self.receive_report()
             await trio.sleep(self.fleet.report_seconds)
 
+    def receive_report(self) -> None:
+        """Handle a report of the upstream, unless it is down or cut off."""
+        upstream = self.fleet.upstreams[self.name]
+        if upstream.down or self.name in self.fleet.cut_upstreams:
+            return
+        before = self.executor.refusal(), self.executor.capacity()
+        self.executor.handle_upstream_report(upstream.report())
+        if before != (self.executor.refusal(), self.executor.capacity()):
+            self.contacts.notify_all_entries()
+
     def _connect(self, report) -> PausablePort:
         port = StandInPort(
             lambda: self.fleet.lives[report.id], self.boot, self.fleet.nursery
@@ -275,6 +281,8 @@
         evacuations: The evacuations in force; each entry adopts them at its start.
         crashing: Tasks that crash each upstream that starts them.
         process_counts: Number of entries and of agents at the start.
+        slowness: By agent, the slowness of each new life of its upstream; 1 if it has
+            none.
     """
 
     def __init__(
@@ -307,6 +315,7 @@
         self.entries: dict[str, EntryProcess] = {}
         self.agents: dict[str, AgentProcess] = {}
         self.process_counts = (entries, agents)
+        self.slowness: dict[str, float] = {}
 
     def limit_links(self, bytes_per_second: float) -> None:
         """Limit the rate of all entries' links in each direction."""
@@ -391,11 +400,26 @@
             incarnation if self.reports_incarnations else 0,
             clock_began,
         )
+        upstream.behaviour = Behaviour(slowness=self.slowness.get(agent, 1.0))
         upstream.on_start = lambda run: self._run_started(agent, run)
         self.lives[name] = self.upstreams[agent] = upstream
         self.nursery.start_soon(upstream.run)
         return upstream
 
+    def drain_upstream(self, agent: str, remaining_seconds: float | None) -> None:
+        """Drain the upstream of an agent.
+
+        Args:
+            agent: The agent.
+            remaining_seconds: Time left, which the upstream reports at once; ``None``
+                if it reports only that it drains, with its next report.
+        """
+        upstream = self.upstreams[agent]
+        upstream.draining = True
+        if remaining_seconds is not None:
+            upstream.leaves_at = trio.current_time() + remaining_seconds
+            self.agents[agent].receive_report()
+
     def evacuate(self, *zones: str) -> None:
         """Evacuate these zones and end the evacuation of all others."""
         version = self.evacuations.version + 1
