Print an upper bound on the worth beside each replayed policy

The replay told what a policy earns, but not how much any dispatcher could earn on the same load, so the remaining gain was unknown.

--- a/bergamotcourse/__main__.py
+++ b/bergamotcourse/__main__.py
@@ -286,6 +286,11 @@
 @click.option("--seeds", type=int, default=5, help="Number of seeds.")
 @click.option("--jobs", type=int, default=4, help="Replays to run in parallel.")
 @click.option("--plot", metavar="PNG", help="Also plot the comparison to this file.")
+@click.option(
+    "--bound",
+    is_flag=True,
+    help="Also print an upper bound on the worth that any dispatcher can earn.",
+)
 def replay(
     file: str,
     without: tuple[str, ...],
@@ -293,12 +298,13 @@
     seeds: int,
     jobs: int,
     plot: str | None,
+    bound: bool,
 ) -> None:
     """Replay a load FILE on a virtual fleet under several dispatch policies."""
     from bergamotcourse.commands import replay as replay_command
 
     seed_range = range(seed, seed + seeds)
-    sys.exit(replay_command.replay(file, list(without), seed_range, jobs, plot))
+    sys.exit(replay_command.replay(file, list(without), seed_range, jobs, plot, bound))
 
 
 @cli.command()
--- a/bergamotcourse/bench/replay/compare.py
+++ b/bergamotcourse/bench/replay/compare.py
@@ -5,7 +5,10 @@
 from concurrent.futures import Executor
 from dataclasses import dataclass
 
+from bergamotcourse.bench.replay.bound import earnable_share
+from bergamotcourse.bench.replay.capacity import capacity_of
 from bergamotcourse.bench.replay.load_file import Load
+from bergamotcourse.bench.replay.offered import offered_jobs
 from bergamotcourse.bench.replay.run import replay
 from bergamotcourse.bench.replay.tally import ReplayOutcome
 from bergamotcourse.coordination.jobs.policy import JobPolicy
@@ -43,11 +46,24 @@
 
 
 def compare(
-    load: Load, policies: dict[str, JobPolicy], seeds: range, pool: Executor
+    load: Load,
+    policies: dict[str, JobPolicy],
+    seeds: range,
+    pool: Executor,
+    bounds: bool = False,
 ) -> list[PolicyResult]:
-    """Replay a load under each policy with each seed and return a result per policy."""
+    """Replay a load under each policy with each seed and return a result per policy.
+
+    Args:
+        load: The load.
+        policies: The policies by name; gains are relative to the first.
+        seeds: The seeds.
+        pool: Runs the replays.
+        bounds: Whether to compute the upper bound of each replay.
+    """
+    run = replay_with_bound if bounds else replay
     jobs = {
-        name: [pool.submit(replay, load, policy, seed) for seed in seeds]
+        name: [pool.submit(run, load, policy, seed) for seed in seeds]
         for name, policy in policies.items()
     }
     outcomes = {
@@ -66,6 +82,14 @@
     return rows
 
 
+def replay_with_bound(load: Load, policy: JobPolicy, seed: int) -> ReplayOutcome:
+    """Replay a load and return the outcome with the upper bound on its share."""
+    outcome = replay(load, policy, seed)
+    jobs = offered_jobs(load, outcome, seed)
+    outcome.bound = earnable_share(jobs, capacity_of(load))
+    return outcome
+
+
 def share_earned(outcome: ReplayOutcome) -> float:
     """Return the share of a replay's worth that was earned."""
     return outcome.total.share_earned()
--- a/bergamotcourse/bench/replay/report.py
+++ b/bergamotcourse/bench/replay/report.py
@@ -19,10 +19,19 @@
     "lost",
 )
 
+BOUND_COLUMN = COLUMN_TITLES.index("worth") + 1
+"""Position of the upper bounds, if there are any: beside what was earned."""
+
 
 def format_policy_table(rows: list[PolicyResult]) -> str:
     """Return the table of policies: shares of jobs, and median seconds to a refusal."""
-    return format_table(COLUMN_TITLES, [cells(row) for row in rows])
+    table = [list(COLUMN_TITLES), *map(cells, rows)]
+    if all(outcome.bound is not None for row in rows for outcome in row.outcomes):
+        bounds = [f"{row.mean(lambda one: one.bound):.3f}" for row in rows]
+        for line, cell in zip(table, ["bound", *bounds], strict=True):
+            line.insert(BOUND_COLUMN, cell)
+    titles, *lines = table
+    return format_table(titles, lines)
 
 
 def cells(row: PolicyResult) -> list[str]:
--- a/bergamotcourse/bench/replay/run.py
+++ b/bergamotcourse/bench/replay/run.py
@@ -9,7 +9,7 @@
 
 from bergamotcourse.bench.replay.faults import FaultInjector
 from bergamotcourse.bench.replay.load_file import Burst, Kind, Load
-from bergamotcourse.bench.replay.tally import ReplayOutcome
+from bergamotcourse.bench.replay.tally import Call, ReplayOutcome
 from bergamotcourse.coordination.jobs.policy import JobPolicy
 from bergamotcourse.standins.order_upstream import Behaviour
 from bergamotcourse.state.job_spec import (
@@ -101,6 +101,9 @@
             if outcome is None:
                 await trio.sleep(RESUBMIT_DELAY_SECONDS)
         if at >= 0 and not crashes:
+            self.outcome.calls.append(
+                Call(spec.id, kind.name, spec.steps[0].count, started_at)
+            )
             took = trio.current_time() - started_at
             objective = self.queues[kind.name].objective(
                 self._longest_task_seconds(spec)
@@ -153,10 +156,15 @@
     return load.load * load.agents * load.slots / mean
 
 
+def draw_work_errors(load: Load, rng: random.Random) -> dict[str, float]:
+    """Return for each kind the factor by which its declared run time is off."""
+    return {k.name: 1 + rng.uniform(-load.error, load.error) for k in load.kinds}
+
+
 def make_work_sampler(load: Load, rng: random.Random):
     """Return a function that draws a task's resources and run time from its payload."""
     needs = task_needs(load)
-    errors = {k.name: 1 + rng.uniform(-load.error, load.error) for k in load.kinds}
+    errors = draw_work_errors(load, rng)
     works = {kind.name: kind.work for kind in load.kinds}
 
     def work_of(payload: str) -> tuple[Resources, float]:
@@ -188,15 +196,19 @@
 
 def set_upstream_speeds(fleet: JobFleet, load: Load) -> None:
     """Set the slowness of each upstream, also for its later lives."""
-    last = max(1, len(fleet.upstreams) - 1)
     for index, (agent, upstream) in enumerate(fleet.upstreams.items()):
-        slowness = 1 + (load.slowest - 1) * index / last
-        if load.speeds:
-            slowness = 1 / load.speeds[index % len(load.speeds)]
+        slowness = upstream_slowness(load, index)
         fleet.slowness[agent] = slowness
         upstream.behaviour = Behaviour(slowness=slowness)
 
 
+def upstream_slowness(load: Load, index: int) -> float:
+    """Return the run time at an upstream relative to the nominal one."""
+    if load.speeds:
+        return 1 / load.speeds[index % len(load.speeds)]
+    return 1 + (load.slowest - 1) * index / max(1, load.agents - 1)
+
+
 async def run_callers_and_events(
     fleet: JobFleet, load: Load, outcome: ReplayOutcome
 ) -> None:
@@ -206,6 +218,9 @@
     async with trio.open_nursery() as nursery:
         nursery.start_soon(run_events, faults, load, counted_from)
         await Callers(fleet, load, outcome).run(counted_from)
+    outcome.counted_from = counted_from
+    for run in fleet.history:
+        outcome.works[run.key.task].append(run.total)
 
 
 async def run_events(faults: FaultInjector, load: Load, counted_from: float) -> None:
--- a/bergamotcourse/bench/replay/tally.py
+++ b/bergamotcourse/bench/replay/tally.py
@@ -4,6 +4,7 @@
 from dataclasses import dataclass, field
 
 from bergamotcourse.coordination.jobs.job_run import LATE_FACTOR, JobOutcome
+from bergamotcourse.state.job_spec import JobId, TaskName
 
 LATE_WORTH_SHARE = 0.2
 """Share of its worth that a late job earns, as the users' sheets state."""
@@ -54,13 +55,43 @@
         return self.earned / self.worth if self.worth else 1.0
 
 
+@dataclass(frozen=True)
+class Call:
+    """The first call for a counted job.
+
+    Attributes:
+        job: Id of the job.
+        kind: Name of its kind.
+        tasks: Number of its tasks.
+        at: Time of the call, in seconds of the fleet's clock.
+    """
+
+    job: JobId
+    kind: str
+    tasks: int
+    at: float
+
+
 @dataclass
 class ReplayOutcome:
-    """Outcome counts of a replay: by kind, by arrival window, and in total."""
+    """Outcome counts of a replay: by kind, by arrival window, and in total.
+
+    Attributes:
+        counted_from: Begin of the counted time, in seconds of the fleet's clock.
+        calls: The first call for each counted job.
+        works: For each task, the work that its runs drew, in seconds.
+        bound: Upper bound on the share of the worth; ``None`` if it was not computed.
+    """
 
     kinds: dict[str, Tally] = field(default_factory=lambda: defaultdict(Tally))
     windows: dict[int, Tally] = field(default_factory=lambda: defaultdict(Tally))
     total: Tally = field(default_factory=Tally)
+    counted_from: float = 0.0
+    calls: list[Call] = field(default_factory=list)
+    works: dict[TaskName, list[float]] = field(
+        default_factory=lambda: defaultdict(list)
+    )
+    bound: float | None = None
 
     def add(self, kind: str, arrived: float, *job) -> None:
         """Count one job that arrived ``arrived`` seconds into the counted time."""
--- a/bergamotcourse/commands/replay.py
+++ b/bergamotcourse/commands/replay.py
@@ -20,7 +20,12 @@
 
 
 def replay(
-    file: str, without: list[str], seeds: range, jobs: int, plot: str | None
+    file: str,
+    without: list[str],
+    seeds: range,
+    jobs: int,
+    plot: str | None,
+    bounds: bool = False,
 ) -> int:
     """Replay a load file and print a comparison; return the exit code."""
     try:
@@ -30,7 +35,7 @@
         return ExitCode.INVALID
     match read_load(file):
         case Result(tag="ok", ok=load):
-            print_comparison(load, compared, seeds, jobs, plot)
+            print_comparison(load, compared, seeds, jobs, plot, bounds)
             return ExitCode.OK
         case Result(error=issues):
             click.echo("\n".join(str(issue) for issue in issues), err=True)
@@ -45,11 +50,11 @@
 
 
 def print_comparison(
-    load: Load, policies, seeds: range, jobs: int, plot: str | None
+    load: Load, policies, seeds: range, jobs: int, plot: str | None, bounds: bool
 ) -> None:
     """Replay a load under all policies and print the results."""
     with ProcessPoolExecutor(jobs) as pool:
-        rows = compare(load, policies, seeds, pool)
+        rows = compare(load, policies, seeds, pool, bounds)
     click.echo(format_policy_table(rows))
     click.echo(format_kinds_table(rows[0]))
     if plot is not None:
--- a/bergamotcourse/tests/commands/test_replay.py
+++ b/bergamotcourse/tests/commands/test_replay.py
@@ -25,6 +25,14 @@
         lines = [line.split()[0] for line in done.output.splitlines()]
         assert lines == ["policy", "all", "without", "kind", "check"]
 
+    def test_bound_is_printed_beside_the_worth_of_each_policy(self, tmp_path):
+        done = run(tmp_path, "--bound", "--without", "moves_runs")
+        titles, *rows = done.output.splitlines()
+        assert titles.split()[:3] == ["policy", "worth", "bound"]
+        for row in rows[:2]:
+            worth, bound = map(float, row.split()[-10:-8])
+            assert worth <= bound <= 1
+
     def test_unknown_mechanism_is_reported_on_one_line(self, tmp_path):
         done = run(tmp_path, "--without", "luck")
         assert done.exit_code == ExitCode.INVALID
--- a/bergamotcourse/virtual/job_fleet.py
+++ b/bergamotcourse/virtual/job_fleet.py
@@ -48,6 +48,9 @@
 UPSTREAM_RESTART_SECONDS = 3.0
 """Delay after which an upstream that a task crashed is started again."""
 
+ANSWER_GRACE_SECONDS = 1.0
+"""Time for which a caller waits after its timeout, so that the entry reports it."""
+
 LINK_QUEUE_SECONDS = 0.6
 """How long payloads may queue at a link of limited rate."""
 
@@ -470,7 +473,7 @@
                 done.set()
 
         process.nursery.start_soon(handle)
-        with trio.move_on_after(seconds + 1.0):
+        with trio.move_on_after(seconds + ANSWER_GRACE_SECONDS):
             await done.wait()
         return CallerAnswer(answers[0] if answers else None, trio.current_time())
 
