Balance callers over the entries of a zone

The balancer deals out only new connections, so callers stayed with the entries that outlived a restart, and an entry short of processor time kept all its callers.

Entries tell each other their zone, shortage and since when the balancer sends them callers. Greetings go round the peers in a kept order, so that each is heard within 2.4 s among 35 entries.

--- a/bergamotcourse/coordination/jobs/peers.py
+++ b/bergamotcourse/coordination/jobs/peers.py
@@ -6,6 +6,7 @@
 peers if the store refuses this process.
 """
 
+import math
 import random
 from collections.abc import Callable
 from dataclasses import dataclass
@@ -16,7 +17,7 @@
 from bergamotcourse.coordination.jobs.evacuated_zones import EvacuatedZones
 from bergamotcourse.coordination.jobs.queues_in_force import QueuesInForce
 from bergamotcourse.coordination.timers import Timers
-from bergamotcourse.ids import LinkAddress
+from bergamotcourse.ids import LinkAddress, ZoneName
 from bergamotcourse.protocol.mailer import Mailer
 from bergamotcourse.protocol.message import Message
 from bergamotcourse.protocol.task_messages import (
@@ -31,9 +32,10 @@
 configuration must be in force."""
 
 PEERS_PER_ROUND = 6
-"""Number of peers greeted in a round, drawn at random each time. A version that one of
-35 entries has reaches all of them within three rounds. If each greeted all others, an
-entry would send and receive 170 messages a second for this."""
+"""Number of peers greeted in a round, in a random order that is kept. A version that
+one of 35 entries has reaches all of them within three rounds, and each of them hears
+from each other one every 2.4 s. If each greeted all others, an entry would send and
+receive 170 messages a second for this."""
 
 FULL_LIST_INTERVAL_SECONDS = 2.0
 """Interval between greetings that request the full list of known processes. One peer is
@@ -47,6 +49,26 @@
 """Silence after which a peer that is not from the settings is removed."""
 
 
+@dataclass(frozen=True)
+class EntryStatus:
+    """What an entry tells its peers of itself.
+
+    Attributes:
+        zone: Its zone; empty if it does not say.
+        short_of_cpu: Whether it sheds load for lack of processor time.
+        drains: Whether it is not ready, to pass callers to other entries.
+        serving_from: Time on its own clock, in milliseconds, from which on the balancer
+            has sent it callers without a break; 0 if it sends none.
+        serving_ms: Milliseconds since then.
+    """
+
+    zone: ZoneName = ZoneName("")
+    short_of_cpu: bool = False
+    drains: bool = False
+    serving_from: int = 0
+    serving_ms: int = 0
+
+
 @dataclass
 class Peer:
     """Another entry.
@@ -54,11 +76,39 @@
     Attributes:
         heard_at: Time of its last greeting, or of its discovery.
         from_settings: Whether the settings list it; such a peer never expires.
+        greeted_at: Time of its last greeting.
+        status: What its last greeting told.
+        serving_from: The last ``EntryStatus.serving_from`` that was not 0.
+        serving_since: The same on the clock of this process.
+        served_seconds: Length of that time as of its last greeting.
+        former_seconds: Length of the time before it in which the balancer sent callers
+            to the peer; infinite if none is known.
     """
 
     address: LinkAddress
     heard_at: float
     from_settings: bool = False
+    greeted_at: float = -math.inf
+    status: EntryStatus = EntryStatus()
+    serving_from: int = 0
+    serving_since: float = -math.inf
+    served_seconds: float = math.inf
+    former_seconds: float = math.inf
+
+    def update(self, now: float, status: EntryStatus) -> None:
+        """Adopt what the peer tells of itself."""
+        self.heard_at = self.greeted_at = now
+        self.status = status
+        if not status.serving_from:
+            return
+        seconds = status.serving_ms / 1000
+        if status.serving_from != self.serving_from:
+            self.serving_from = status.serving_from
+            self.serving_since = now - seconds
+            self.former_seconds = self.served_seconds
+        # The greeting with the shortest delay gives the time best.
+        self.serving_since = min(self.serving_since, now - seconds)
+        self.served_seconds = seconds
 
 
 class Peers:
@@ -66,6 +116,8 @@
 
     Attributes:
         agents: Returns the addresses of the known agents.
+        status: Returns what this entry tells its peers of itself.
+        order: The peers in the order in which they are greeted next.
         own_address: Address of this entry.
         last_asked_at: Time of the last request for the full list of processes.
     """
@@ -88,7 +140,9 @@
         self.zones = zones
         self.log = log
         self.peers: dict[LinkAddress, Peer] = {}
+        self.order: list[LinkAddress] = []
         self.agents: Callable[[], list[LinkAddress]] = list
+        self.status: Callable[[], EntryStatus] = EntryStatus
         self.last_asked_at = -1e9
         queues.on_change = self.announce_change
 
@@ -136,6 +190,11 @@
         """Greet some peers at once after a change of the configuration or the zones."""
         self._greet()
 
+    def announce_status(self, peers: list[LinkAddress]) -> None:
+        """Tell peers at once what has changed at this entry."""
+        for peer in peers:
+            self.mailer.post(peer, self._greeting(wants_reply=False))
+
     def greet_agents(self, addresses: list[LinkAddress]) -> None:
         """Greet the agents among the addresses that this entry does not know yet."""
         known = set(self.agents())
@@ -155,7 +214,14 @@
             self.learn([sender])
             peer = self.peers.get(sender)
             if peer is not None:
-                peer.heard_at = self.timers.now()
+                status = EntryStatus(
+                    ZoneName(greeting.zone),
+                    greeting.short_of_cpu,
+                    greeting.drains,
+                    greeting.serving_from,
+                    greeting.serving_ms,
+                )
+                peer.update(self.timers.now(), status)
         self.zones.adopt(greeting.evacuations, f"peer {sender}")
         if greeting.config > self.queues.version:
             self.log.write("config.wanted", version=greeting.config, peer=sender)
@@ -185,14 +251,22 @@
 
     def _greet(self, asked: int = 0) -> None:
         """Greet the peers of a round, and ask ``asked`` of them for the full list."""
-        peers = list(self.peers)
-        drawn = self.rng.sample(peers, min(PEERS_PER_ROUND, len(peers)))
-        for index, peer in enumerate(drawn):
+        for index, peer in enumerate(self._next_peers()):
             self.mailer.post(peer, self._greeting(wants_reply=index < asked))
 
+    def _next_peers(self) -> list[LinkAddress]:
+        """Return the peers of a round, and move them to the end of the order."""
+        order = [peer for peer in self.order if peer in self.peers]
+        for peer in self.peers:
+            if peer not in order:
+                order.insert(self.rng.randint(0, len(order)), peer)
+        self.order = order[PEERS_PER_ROUND:] + order[:PEERS_PER_ROUND]
+        return order[:PEERS_PER_ROUND]
+
     def _greeting(self, wants_reply: bool, whole: bool = False) -> Hello:
         entries = list(self.peers) if whole else []
         agents = self.agents() if whole else []
+        status = self.status()
         return Hello(
             agent=False,
             entries=entries,
@@ -200,4 +274,9 @@
             config=self.queues.version,
             wants_reply=wants_reply,
             evacuations=self.zones.latest,
+            zone=status.zone,
+            short_of_cpu=status.short_of_cpu,
+            drains=status.drains,
+            serving_from=status.serving_from,
+            serving_ms=status.serving_ms,
         )
--- a/bergamotcourse/coordination/jobs/processor_lag.py
+++ b/bergamotcourse/coordination/jobs/processor_lag.py
@@ -7,6 +7,7 @@
 lag of this process, is rejected before decoding, so that the others are served in time.
 """
 
+import math
 import random
 import time
 from collections.abc import Callable
@@ -47,6 +48,9 @@
         last_cpu_seconds: Processor time used as of the last measurement.
         lag: Lateness of the latest measurement in seconds; 0 after a pause.
         shed_share: Share of new jobs to reject.
+        shedding_since: Since when jobs have been rejected without a break; ``None`` if
+            they are not rejected now.
+        last_shed_at: When a measurement last found that jobs must be rejected.
     """
 
     def __init__(
@@ -66,6 +70,8 @@
         self.last_cpu_seconds = process_cpu_seconds()
         self.lag = 0.0
         self.shed_share = 0.0
+        self.shedding_since: float | None = None
+        self.last_shed_at = -math.inf
         timers.every(MEASUREMENT_INTERVAL_SECONDS, "processor lag", self.measure_lag)
 
     def should_reject_job(self) -> bool:
@@ -91,6 +97,15 @@
         if (self.shed_share > 0) != was_short:
             kind = "processor.enough" if was_short else "processor.short"
             self.log.write(kind, lag_ms=round(self.lag * 1000))
+        self._note_shedding(now)
+
+    def _note_shedding(self, now: float) -> None:
+        if not self.sheds_load or self.shed_share == 0:
+            self.shedding_since = None
+            return
+        self.last_shed_at = now
+        if self.shedding_since is None:
+            self.shedding_since = now
 
 
 def shed_share_at(lag: float) -> float:
--- a/bergamotcourse/daemons/job_entry.py
+++ b/bergamotcourse/daemons/job_entry.py
@@ -15,6 +15,7 @@
     EntryRows,
     UpstreamRows,
 )
+from bergamotcourse.daemons.caller_balancing import CallerBalancing
 from bergamotcourse.daemons.job_process import Node, job_http_server, link_address
 from bergamotcourse.daemons.process import serve_http
 from bergamotcourse.ids import LinkAddress
@@ -84,6 +85,17 @@
         self.server = job_http_server(
             node.settings.callers, node.platform.callers(self.service)
         )
+        self.balancing = CallerBalancing(
+            node.settings.zone,
+            self.peers,
+            processor,
+            self.server,
+            node.timers,
+            node.log,
+            node.rng,
+        )
+        self.balancing.enabled = node.policy.balances_callers
+        self.balancing.cores = node.settings.cores
         self.rows = EntryRows(node.store, node.rng, node.log)
         node.mailer.handler = self.handle
 
@@ -109,7 +121,7 @@
         nursery.start_soon(serve_http, self.server)
         if settings.readiness is not None:
             ready = job_http_server(
-                settings.readiness, node.platform.readiness(self.is_ready)
+                settings.readiness, node.platform.readiness(self.answer_check)
             )
             nursery.start_soon(serve_http, ready)
         if settings.reports is not None:
@@ -135,8 +147,12 @@
         self.peers.announce_change()
         self.jobs.handle_evacuations()
 
+    def answer_check(self) -> bool:
+        """Return the answer to a readiness check of the balancer."""
+        return self.balancing.answer_check(self.is_ready())
+
     def is_ready(self) -> bool:
-        """Return whether this entry is ready to accept jobs."""
+        """Return whether this entry is ready to accept jobs, apart from a drain."""
         return (
             not self.stopping
             and self.queues.table is not None
@@ -147,12 +163,13 @@
         """Apply changed settings."""
         seeds = [link_address(seed) for seed in settings.seeds]
         self.peers.learn(seeds, from_settings=True)
+        self.balancing.cores = settings.cores
 
     async def stop(self) -> None:
         """Serve accepted and still arriving jobs, abandon the rest, then leave."""
         seconds = self.node.settings.stop_seconds - ANSWER_RESERVE_SECONDS
         begun = trio.current_time()
-        self.stopping = True
+        self.stopping = self.balancing.stopping = True
         self.jobs.ends_at = self.node.timers.now() + seconds
         self.server.close_after_next_responses()
         self.node.log.write("entry.stopping", jobs=len(self.jobs.jobs))
--- a/bergamotcourse/protocol/task_messages.py
+++ b/bergamotcourse/protocol/task_messages.py
@@ -216,6 +216,11 @@
         evacuations: The zone evacuations that the sender knows.
         zone: Zone of the sender if it is an entry; empty if it does not say.
         short_of_cpu: The sender is an entry that sheds load for lack of processor time.
+        drains: The sender is an entry that is not ready, to pass callers to others.
+        serving_from: Time on the sender's clock, in milliseconds, from which on the
+            balancer has sent it callers without a break; 0 if it sends none. Another
+            value means that the sender has started anew.
+        serving_ms: Milliseconds since then.
     """
 
     agent: bool
@@ -226,6 +231,9 @@
     evacuations: Evacuations = Evacuations()
     zone: str = ""
     short_of_cpu: bool = False
+    drains: bool = False
+    serving_from: int = 0
+    serving_ms: int = 0
 
 
 class ConfigWanted(Message, frozen=True):
--- a/bergamotcourse/transport/http_connection.py
+++ b/bergamotcourse/transport/http_connection.py
@@ -43,6 +43,7 @@
         limits: Limits on what a client may use.
         peer: Address of the client.
         number: Number of the connection.
+        opened_at: When it was accepted, in seconds on trio's clock.
         close_after_response: Whether to close after the next response.
         stopping: Whether to close soon, even if no further request arrives.
         received: Bytes received and not yet parsed.
@@ -62,6 +63,7 @@
         self.limits = limits
         self.peer = peer
         self.number = number
+        self.opened_at = trio.current_time()
         self.close_after_response = False
         self.stopping = False
         self.received = b""
--- a/bergamotcourse/transport/http_server.py
+++ b/bergamotcourse/transport/http_server.py
@@ -3,6 +3,7 @@
 import errno
 import itertools
 import logging
+from collections.abc import Collection
 
 import h11
 import trio
@@ -109,6 +110,26 @@
         for connection in self.connections:
             connection.close_after_response = True
 
+    def close_after_next_response(self, numbers: Collection[int]) -> None:
+        """Close the connections of these numbers, each after its next response.
+
+        As with ``close_after_next_responses``, an idle connection stays open.
+        """
+        for connection in self.connections:
+            if connection.number in numbers:
+                connection.close_after_response = True
+
+    def keep_open(self, numbers: Collection[int]) -> None:
+        """Undo ``close_after_next_response`` where the response is not sent yet.
+
+        It has no effect after ``close_after_next_responses`` or ``begin_stop``.
+        """
+        if self.close_after_response:
+            return
+        for connection in self.connections:
+            if connection.number in numbers:
+                connection.close_after_response = False
+
     def begin_stop(self) -> None:
         """Stop accepting connections and close each after its current request."""
         self.close_after_next_responses()
@@ -151,17 +172,22 @@
             await trio.sleep(ACCEPT_PAUSE_SECONDS)
             return
         if len(self.connections) < self.limits.connections:
-            self._start(stream, nursery)
+            self.start_connection(stream, peer_address(stream), nursery)
         else:
             nursery.start_soon(self._refuse, stream)
 
-    def _start(self, stream: trio.SocketStream, nursery: trio.Nursery) -> None:
+    def start_connection(
+        self, stream: trio.abc.HalfCloseableStream, peer: str, nursery: trio.Nursery
+    ) -> None:
+        """Start a task that serves a client's connection.
+
+        Args:
+            stream: The connection.
+            peer: Address of the client.
+            nursery: Runs the task.
+        """
         connection = ServerConnection(
-            stream,
-            self.handler,
-            self.limits,
-            peer_address(stream),
-            next(connection_numbers),
+            stream, self.handler, self.limits, peer, next(connection_numbers)
         )
         self.connections.add(connection)
         connection.close_after_response = self.close_after_response
