--- a/bergamotcourse/tests/jobs/test_configuration.py
+++ b/bergamotcourse/tests/jobs/test_configuration.py
@@ -8,6 +8,7 @@
 from expression import Error, Ok
 
 from bergamotcourse.coordination.event_log import EventLog
+from bergamotcourse.coordination.jobs.caller_balance import PEER_KNOWN_SECONDS
 from bergamotcourse.coordination.jobs.evacuated_zones import EvacuatedZones
 from bergamotcourse.coordination.jobs.peers import Peers
 from bergamotcourse.coordination.jobs.queues_in_force import QueuesInForce
@@ -280,6 +281,22 @@
 
         self.run_peers(scenario, entries=35)
 
+    def test_each_of_34_peers_is_heard_while_it_counts_as_known(self):
+        """Peers not drawn for a while were not counted among the entries of a zone."""
+
+        async def scenario(network, addresses, entries):
+            for peers, queues in entries:
+                queues.adopt(content(5), "store")
+                peers.agents = lambda: [LinkAddress("tcp://agent-1")]
+            await trio.sleep(5.0)
+            for _ in range(100):
+                await trio.sleep(0.1)
+                now = trio.current_time()
+                heard = [p.greeted_at for e, _ in entries for p in e.peers.values()]
+                assert min(heard) >= now - PEER_KNOWN_SECONDS
+
+        self.run_peers(scenario, entries=35)
+
     def test_older_evacuations_from_peer_are_ignored(self):
         async def scenario(network, addresses, entries):
             entries[0][0].zones.adopt(evacuation(9), "store")
--- a/bergamotcourse/tests/transport/test_http_server.py
+++ b/bergamotcourse/tests/transport/test_http_server.py
@@ -352,6 +352,46 @@
         serve(script, echo, ServerLimits())
 
 
+class TestCloseChosenConnections:
+    """Closing an idle connection, or a wrong one, could lose a request."""
+
+    @pytest.mark.parametrize("kept_open", [False, True])
+    def test_chosen_connection_gets_one_more_response(self, kept_open):
+        async def script(server):
+            other, chosen = await dial(server), await dial(server)
+            for client in (other, chosen):
+                await client.send_all(GET)
+                await read_until(client, b"GET /a ")
+            ages = {one.number: one.opened_at for one in server.connections}
+            assert ages == dict(sorted(ages.items(), key=lambda item: item[1]))
+            server.close_after_next_response({max(ages)})
+            if kept_open:
+                server.keep_open({max(ages)})
+            await trio.sleep(STOP_GRACE_SECONDS * 2)
+            for client in (other, chosen):
+                await client.send_all(GET)
+                answer = await read_until(client, b"GET /a ")
+                closes = client is chosen and not kept_open
+                assert (b"connection: close" in answer) == closes
+                await client.aclose()
+
+        serve(script, echo, ServerLimits())
+
+    def test_stop_is_not_undone(self):
+        async def script(server):
+            client = await dial(server)
+            await client.send_all(GET)
+            await read_until(client, b"GET /a ")
+            (connection,) = server.connections
+            server.close_after_next_responses()
+            server.keep_open({connection.number})
+            await client.send_all(GET)
+            assert b"connection: close" in await read_all(client)
+            await client.aclose()
+
+        serve(script, echo, ServerLimits())
+
+
 class TestStop:
     @pytest.mark.parametrize(("delay", "expected"), [(0.2, [200]), (0.3, [])])
     def test_idle_connection_stays_open_for_grace_time(self, delay, expected):
