--- a/bergamotcourse/tests/jobs/test_processor_lag.py
+++ b/bergamotcourse/tests/jobs/test_processor_lag.py
@@ -1,5 +1,6 @@
 """Load shedding under a lack of processor time, replayed as late measurements."""
 
+import itertools
 import random
 from collections import deque
 
@@ -7,6 +8,7 @@
 import trio
 
 from bergamotcourse.coordination.event_log import EventLog
+from bergamotcourse.coordination.jobs.caller_drain import Shortage
 from bergamotcourse.coordination.jobs.processor_lag import (
     MAX_SHEDDING_LAG_SECONDS,
     MEASUREMENT_INTERVAL_SECONDS,
@@ -129,5 +131,20 @@
         assert share_in_time(load, sheds=False) < 0.05
         assert share_in_time(load, sheds=True) > least
 
+    @pytest.mark.parametrize(("load", "passes_on"), [(0.5, False), (2.0, True)])
+    def test_callers_are_passed_on_under_overload_only(self, load, passes_on):
+        """Rejections lower the lag, which must not hide a lasting overload."""
+        rng = random.Random(1)
+        entry = Entry(sheds=True)
+        gaps = (rng.expovariate(load / Entry.PLACE_SECONDS) for _ in range(1000))
+        arrivals = deque(itertools.accumulate(gaps))
+        lasting = 0
+        while arrivals:
+            entry.run_pass(arrivals)
+            lag = entry.tested.lag
+            shortage = Shortage(lag.shedding_since, lag.last_shed_at)
+            lasting += shortage.is_lasting(entry.tested.clock.time)
+        assert bool(lasting) == passes_on
+
     def test_few_jobs_are_rejected_at_half_load(self):
         assert share_in_time(0.5, sheds=True) > 0.95
