Move runs from upstreams that announce the time until they leave

Runs that could not end before their draining upstream left ended with it. The agent now reads the time left from the report, and stops the runs that cannot end within it, with the outcome "moved", by the path of runs on slow upstreams. After the drain is reported, no start order is repeated, and a run refused for lack of room is returned instead of queued where nothing serves the queue.

--- a/bergamotcourse/coordination/jobs/executor.py
+++ b/bergamotcourse/coordination/jobs/executor.py
@@ -14,6 +14,7 @@
 import trio
 
 from bergamotcourse.coordination.event_log import EventLog
+from bergamotcourse.coordination.jobs import departure_plan
 from bergamotcourse.coordination.jobs.holding_reconciler import HoldingReconciler
 from bergamotcourse.coordination.jobs.known_lives import (
     KnownLives,
@@ -157,8 +158,17 @@
             return
         self.log.write("upstream.recalled", upstream=report.id)
         incarnation = answer.incarnation or report.incarnation
+        # The stored times left were measured at an unknown time; the next report gives
+        # them again.
         self._begin_life(
-            replace(report, clock=answer.clock, sequence=0, incarnation=incarnation)
+            replace(
+                report,
+                clock=answer.clock,
+                sequence=0,
+                incarnation=incarnation,
+                remaining_seconds=None,
+                cold_seconds=0.0,
+            )
         )
 
     def handle_upstream_departure(self, gone: LifeKey) -> None:
@@ -304,7 +314,9 @@
 
     async def _order_start(self, run: PlacedRun, life: UpstreamLife) -> None:
         verdict = await self.order_sender.start(
-            run, life, lambda: self.may_start(run.entry)
+            run,
+            life,
+            lambda: not life.report.draining and self.may_start(run.entry),
         )
         if self.registry.has(run) and life is self.life:
             self._handle_start_verdict(run, verdict)
@@ -351,6 +363,11 @@
         if run.stop_requested:
             self.registry.finish(run, RunOutcome.RETURNED, "no room")
             return
+        refusal = self.refusal()
+        if refusal is not None:
+            # The queue was returned when the refusal began, and is not served now.
+            self.registry.finish(run, RunOutcome.RETURNED, refusal)
+            return
         self.registry.release_room(run)
         self.registry.enqueue(run)
         self.paused_until = self.timers.now() + NO_ROOM_BACKOFF_SECONDS
@@ -519,6 +536,7 @@
     ) -> None:
         self.reconciler.reconcile(life, self.health, holding, number)
         self._move_runs(life.answer_made_at)
+        self._move_from_leaving(life)
         self.start_queued_runs()
 
     def _move_runs(self, now: float) -> None:
@@ -539,6 +557,59 @@
             self.registry.return_queued_runs("the upstream is on trial")
             self.registry.room_changed()
 
+    def _handle_notice(self, life: UpstreamLife) -> None:
+        """Apply the time left in the latest report, which counts from its arrival.
+
+        A draining upstream that no longer states a time has not withdrawn the last one.
+        """
+        report = life.report
+        if not report.draining:
+            life.leaves_at = None
+            life.last_move.cancel()
+        elif report.remaining_seconds is not None and self.policy.moves_from_leaving:
+            is_first = life.leaves_at is None
+            life.leaves_at = self.timers.now() + report.remaining_seconds
+            life.last_move.cancel()
+            life.last_move = trio.CancelScope()
+            self._move_from_leaving(life, is_first)
+            self.nursery.start_soon(self._move_last_runs, life, life.last_move)
+
+    async def _move_last_runs(
+        self, life: UpstreamLife, scope: trio.CancelScope
+    ) -> None:
+        """Move runs shortly before the upstream leaves, also if it does not answer."""
+        with scope:
+            wait = life.leaves_at - departure_plan.LAST_MOVE_SECONDS - self.timers.now()
+            await trio.sleep(max(0.0, wait))
+            if life is self.life:
+                self._move_from_leaving(life)
+
+    def _move_from_leaving(self, life: UpstreamLife, is_first: bool = False) -> None:
+        """Stop the runs that cannot end before the upstream leaves.
+
+        Args:
+            life: The current life of the upstream.
+            is_first: The time left has just been announced.
+        """
+        if life.leaves_at is None:
+            return
+        now = self.timers.now()
+        left = life.leaves_at - now
+        runs = self.registry.all()
+        moved = departure_plan.runs_to_move(runs, left, life.listed_at, now)
+        if moved or is_first:
+            self.log.write(
+                "upstream.leaving",
+                upstream=life.report.id,
+                remaining_ms=round(left * 1000),
+                runs=len(runs),
+                moved=len(moved),
+                lost_ms=sum(self._ms_since(run.started_at) for run in moved),
+            )
+        for run in moved:
+            run.is_moving = True
+            self._stop(run, f"the upstream leaves, progress {run.progress:.2f}")
+
     def pace(self) -> float:
         """Return the ratio of the time that running tasks take to the estimate."""
         return round(self.health.pace, 2)
@@ -566,6 +637,7 @@
         # The probe carries this process's fencing token, so that the upstream refuses
         # orders of an earlier process from now on.
         self.nursery.start_soon(self._probe_new_life, self.life)
+        self._handle_notice(self.life)
         self.registry.room_changed()
 
     async def _probe_new_life(self, life: UpstreamLife) -> None:
@@ -588,6 +660,7 @@
         """End the current life and finish its started runs with ``outcome``."""
         life = self.life
         self.life = None
+        life.last_move.cancel()
         self.log.write("upstream.gone", upstream=life.report.id, why=why)
         self.nursery.start_soon(life.port.aclose)
         self.registry.return_queued_runs("the upstream is gone")
@@ -610,6 +683,7 @@
             self.log.write("upstream.draining", upstream=report.id)
             self.registry.return_queued_runs("the upstream is draining")
             self.registry.room_changed()
+        self._handle_notice(life)
         if report.capacity != capacity:
             self.log.write(
                 "upstream.capacity",
--- a/bergamotcourse/coordination/jobs/upstream_life.py
+++ b/bergamotcourse/coordination/jobs/upstream_life.py
@@ -2,6 +2,8 @@
 
 from dataclasses import dataclass, field
 
+import trio
+
 from bergamotcourse.coordination.jobs.lease_terms import (
     UPSTREAM_LEASE_EXPIRY_SECONDS,
     UPSTREAM_LEASE_SECONDS,
@@ -41,6 +43,9 @@
         listed_at: When its last list was made.
         clock: Dates its answers.
         answer_made_at: When the list in the latest answer was made.
+        leaves_at: Earliest time at which it leaves, by the agent's clock; ``None``
+            unless it has announced one.
+        last_move: Waits until shortly before that time; replaced with each notice.
     """
 
     report: UpstreamReport
@@ -57,6 +62,8 @@
     listed_at: float = 0.0
     clock: UpstreamClock = field(init=False)
     answer_made_at: float = 0.0
+    leaves_at: float | None = None
+    last_move: trio.CancelScope = field(default_factory=trio.CancelScope)
 
     def __post_init__(self):
         self.clock = UpstreamClock(self.clock_offset)
--- a/bergamotcourse/platform/documents.py
+++ b/bergamotcourse/platform/documents.py
@@ -3,6 +3,8 @@
 They convert to this project's types; no other module knows the documents' fields.
 """
 
+from collections.abc import Callable
+from dataclasses import dataclass
 from enum import Enum
 from typing import Annotated, Any
 
@@ -29,6 +31,9 @@
 MAX_TASKS_PER_JOB = 10_000
 """A job with more tasks is refused as malformed."""
 
+MAX_REMAINING_MS = 600_000
+"""Ten minutes. No upstream stays cold, or drains with runs, for longer."""
+
 
 class WireRoute(msgspec.Struct):
     """A route, which defines a queue of jobs."""
@@ -116,6 +121,9 @@
 
     Attributes:
         born: Milliseconds since 1970 at the start of the worker's process.
+        remaining_ms: Least time until a draining worker stops. Like the next field, it
+            is decoded on its own, so that a fault in it leaves the rest usable.
+        cold_remaining_ms: Time for which the worker stays slow after its start.
     """
 
     service: str
@@ -127,12 +135,30 @@
     clock_ms: NonNegativeInt
     labels: list[str] = []
     born: NonNegativeInt = 0
+    remaining_ms: msgspec.Raw | msgspec.UnsetType = msgspec.UNSET
+    cold_remaining_ms: msgspec.Raw | msgspec.UnsetType = msgspec.UNSET
+
+
+class FieldFault(Enum):
+    """Why an optional field of a report is ignored."""
+
+    NOT_A_NUMBER = "not a number"
+    OUT_OF_RANGE = "out of range"
+
+
+@dataclass(frozen=True)
+class IgnoredField:
+    """An optional field of a report that is treated as not given."""
+
+    name: str
+    fault: FieldFault
 
 
 _config_decoder = msgspec.json.Decoder(WireConfig)
 _job_decoder = msgspec.json.Decoder(WireJob)
 _departure_decoder = msgspec.json.Decoder(WireDeparture)
 _heartbeat_decoder = msgspec.json.Decoder(WireHeartbeat)
+_number_decoder = msgspec.json.Decoder(int | float)
 
 
 def decode_document(decoder: msgspec.json.Decoder, body: bytes) -> Any:
@@ -221,9 +247,18 @@
     return tuple(names)
 
 
-def decode_report(upstream: str, body: bytes) -> UpstreamReport:
+def decode_report(
+    upstream: str,
+    body: bytes,
+    on_ignored: Callable[[IgnoredField], None] = lambda _field: None,
+) -> UpstreamReport:
     """Return the report in a worker's heartbeat.
 
+    Args:
+        upstream: The id of the worker.
+        body: The heartbeat.
+        on_ignored: Called with each optional field whose value is not usable.
+
     Raises:
         ValueError: It is malformed.
     """
@@ -233,6 +268,11 @@
     if not is_address(beat.address):
         raise ValueError(f"not of the form IP:PORT: {beat.address}")
     capacity = beat.capacity
+    draining = beat.state is WireState.DRAINING
+    remaining = None
+    if draining:
+        remaining = decode_seconds("remaining_ms", beat.remaining_ms, on_ignored)
+    cold = decode_seconds("cold_remaining_ms", beat.cold_remaining_ms, on_ignored)
     return UpstreamReport(
         id=UpstreamId(upstream),
         service=ServiceName(beat.service),
@@ -240,13 +280,40 @@
         zone=ZoneName(beat.zone),
         capacity=Resources(capacity.cpu, capacity.mem_mb, capacity.gpu),
         labels=tuple(beat.labels),
-        draining=beat.state is WireState.DRAINING,
+        draining=draining,
         sequence=beat.sequence,
         clock=beat.clock_ms / 1000,
         incarnation=Incarnation(beat.born),
+        remaining_seconds=remaining,
+        cold_seconds=cold or 0.0,
     )
 
 
+def decode_seconds(
+    name: str,
+    value: msgspec.Raw | msgspec.UnsetType,
+    on_ignored: Callable[[IgnoredField], None],
+) -> float | None:
+    """Return the seconds in an optional field, or ``None`` if there are none.
+
+    Args:
+        name: The name of the field.
+        value: Its value, in milliseconds.
+        on_ignored: Called if it has a value that is not usable.
+    """
+    if value is msgspec.UNSET:
+        return None
+    try:
+        milliseconds = decode_document(_number_decoder, value)
+    except ValueError:
+        on_ignored(IgnoredField(name, FieldFault.NOT_A_NUMBER))
+        return None
+    if not 0 <= milliseconds <= MAX_REMAINING_MS:
+        on_ignored(IgnoredField(name, FieldFault.OUT_OF_RANGE))
+        return None
+    return milliseconds / 1000
+
+
 def decode_departure(upstream: str, body: bytes) -> LifeKey:
     """Return the id and incarnation of a worker that stops as planned.
 
--- a/bergamotcourse/platform/reports.py
+++ b/bergamotcourse/platform/reports.py
@@ -5,8 +5,12 @@
 
 from bergamotcourse.coordination.event_log import EventLog
 from bergamotcourse.coordination.jobs.executor import Executor
-from bergamotcourse.ids import ServiceName
-from bergamotcourse.platform.documents import decode_departure, decode_report
+from bergamotcourse.ids import ServiceName, UpstreamId
+from bergamotcourse.platform.documents import (
+    IgnoredField,
+    decode_departure,
+    decode_report,
+)
 from bergamotcourse.protocol.upstream_orders import LifeKey, UpstreamReport
 from bergamotcourse.state.resources import Resources
 from bergamotcourse.transport.http import HttpRequest, HttpResponse
@@ -16,6 +20,10 @@
 HEARTBEAT_PATH = "/bergamotcourse/Instances.Heartbeat/"
 DEREGISTER_PATH = "/bergamotcourse/Instances.Deregister/"
 
+MAX_LOGGED_FAULTS = 1000
+"""Faults of fields that are remembered as logged, so that memory stays bounded if
+reports name ever new workers. Above this, they are logged again."""
+
 
 class WorkerReportHandler:
     """Handles workers' heartbeats and departure notices.
@@ -26,6 +34,7 @@
         read_service: Returns the current service of this machine's worker; empty if
             the platform does not specify it.
         service: The service that was read last.
+        logged_faults: The ignored fields that were logged, with their worker.
     """
 
     def __init__(
@@ -40,6 +49,7 @@
         self.read_service = read_service
         self.log = log
         self.service = read_service()
+        self.logged_faults: set[tuple[UpstreamId, IgnoredField]] = set()
 
     async def handle(self, request: HttpRequest) -> HttpResponse:
         """Return the response to one request."""
@@ -56,11 +66,14 @@
 
     def _handle_report(self, upstream: str, body: bytes) -> HttpResponse:
         try:
-            report = decode_report(upstream, body)
+            ignored: list[IgnoredField] = []
+            report = decode_report(upstream, body, ignored.append)
             self._check_service(report)
         except ValueError as error:
             self.log.write("report.skipped", upstream=upstream, why=str(error))
             return plain_problem(400, f"malformed report: {error}")
+        for field in ignored:
+            self._log_ignored(report.id, field)
         before = self._reported_state()
         self.executor.handle_upstream_report(report)
         if self._reported_state() != before:
@@ -77,6 +90,20 @@
         self.executor.handle_upstream_departure(life)
         return json_answer({})
 
+    def _log_ignored(self, upstream: UpstreamId, field: IgnoredField) -> None:
+        """Log an ignored field, once for each worker and kind of fault."""
+        if (upstream, field) in self.logged_faults:
+            return
+        if len(self.logged_faults) >= MAX_LOGGED_FAULTS:
+            self.logged_faults.clear()
+        self.logged_faults.add((upstream, field))
+        self.log.write(
+            "report.field_ignored",
+            upstream=upstream,
+            field=field.name,
+            why=field.fault.value,
+        )
+
     def _reported_state(self) -> tuple[LifeKey | None, str | None, Resources]:
         """Return the state that ``on_change`` reports.
 
