Test upstreams that leave at short notice, also in the fault soak

The soak gets an option that replaces workers after a short notice stated in their reports; without it, seeds draw as before.

--- a/bergamotcourse/standins/order_upstream.py
+++ b/bergamotcourse/standins/order_upstream.py
@@ -169,10 +169,11 @@
             sequence=self.reports,
             clock=self.clock(),
             incarnation=self.incarnation,
-            remaining_seconds=self._remaining_seconds(),
+            remaining_seconds=self.remaining_seconds(),
         )
 
-    def _remaining_seconds(self) -> float | None:
+    def remaining_seconds(self) -> float | None:
+        """Return the time until it leaves, or ``None`` if it announces none."""
         if self.leaves_at is None:
             return None
         return max(0.0, self.leaves_at - trio.current_time())
--- a/bergamotcourse/tests/platform/soak/__main__.py
+++ b/bergamotcourse/tests/platform/soak/__main__.py
@@ -25,6 +25,9 @@
 @click.option(
     "--delays-orders", is_flag=True, help="Leave orders of all workers unanswered."
 )
+@click.option(
+    "--announces-leaving", is_flag=True, help="Replace workers after a short notice."
+)
 @click.option(
     "--keep", type=click.Path(path_type=Path), help="Folder in which logs are kept."
 )
@@ -37,6 +40,7 @@
     evacuates: bool,
     deafens: bool,
     delays_orders: bool,
+    announces_leaving: bool,
     keep: Path | None,
 ):
     """Inject random faults into the real programs and check their guarantees."""
@@ -44,7 +48,9 @@
     with tempfile.TemporaryDirectory() as folder:
         numbers = range(first, first + seeds)
         place = keep or Path(folder)
-        variant = Variant(keeps_ids, evacuates, deafens, delays_orders)
+        variant = Variant(
+            keeps_ids, evacuates, deafens, delays_orders, announces_leaving
+        )
         results = trio.run(run_all, numbers, seconds, jobs, variant, place)
     faulty = [result.seed for result in results if result.violations]
     click.echo(f"{len(results)} soaks, with violations: {faulty or 'none'}")
--- a/bergamotcourse/tests/platform/soak/faults.py
+++ b/bergamotcourse/tests/platform/soak/faults.py
@@ -19,6 +19,7 @@
     Variant,
 )
 from bergamotcourse.tests.platform.soak.verdict import MAX_LEAVING_DELAY_SECONDS
+from bergamotcourse.tests.platform.standins import HttpWorker
 
 CONCURRENT_FAULTS = 3
 """Number of sequences of faults that run concurrently."""
@@ -33,6 +34,10 @@
 DELAYED_ORDERS_SECONDS = (0.5, 3.0)
 DELAYED_ORDERS_SHARE = (0.5, 0.8)
 DELAY_SECONDS = (0.01, 0.4)
+NOTICE_SECONDS = (0.5, 3.0)
+LEAVING_INTERVAL_SECONDS = (0.5, 3.0)
+STAY_FACTORS = (0.3, 1.0, 1.0, 1.5)
+"""Time that a leaving worker stays, relative to the time that it announces."""
 CLOCK_RATES = (0.98, 1.02)
 STOP_TIMEOUT_SECONDS = 8.0
 """Time after SIGTERM until a process is killed, as the platform does."""
@@ -85,6 +90,8 @@
                 nursery.start_soon(self._evacuate_in_turn, ends_at)
             if self.variant.delays_orders:
                 nursery.start_soon(self._delay_orders_in_turn, ends_at)
+            if self.variant.announces_leaving:
+                nursery.start_soon(self._leave_in_turn, ends_at)
             for _ in range(CONCURRENT_FAULTS):
                 rng = random.Random(self.rng.getrandbits(64))
                 nursery.start_soon(self._inject_in_sequence, ends_at, rng)
@@ -260,6 +267,25 @@
             if self.variant.keeps_ids:
                 # The verdict allows starts within this delay.
                 await trio.sleep(MAX_LEAVING_DELAY_SECONDS)
+        await self._begin_next_life(worker, rng)
+
+    async def _leave_in_turn(self, ends_at: float) -> None:
+        """Replace workers after a short notice, one after the other."""
+        rng = random.Random(self.rng.getrandbits(64))
+        while trio.current_time() < ends_at:
+            await trio.sleep(rng.uniform(*LEAVING_INTERVAL_SECONDS))
+            worker = rng.choice(sorted(self.cluster.workers.items()))[1]
+            if worker.upstream.draining:
+                continue
+            self.records.count("announce_leaving")
+            notice = rng.uniform(*NOTICE_SECONDS)
+            worker.upstream.draining = True
+            worker.upstream.leaves_at = trio.current_time() + notice
+            await trio.sleep(notice * rng.choice(STAY_FACTORS))
+            await self._begin_next_life(worker, rng)
+
+    async def _begin_next_life(self, worker: HttpWorker, rng: random.Random) -> None:
+        """Crash a worker, and start a new incarnation at its address."""
         former = worker.upstream
         former.crash()
         await trio.sleep(rng.uniform(*FAULT_SECONDS))
--- a/bergamotcourse/tests/platform/soak/records.py
+++ b/bergamotcourse/tests/platform/soak/records.py
@@ -53,12 +53,15 @@
         deafens: All connections to the store and to workers are black-holed at once.
         delays_orders: All workers at once leave a share of their orders unanswered,
             and carry them out late.
+        announces_leaving: Workers are replaced after a short notice, which their
+            reports state; some leave sooner or later than announced.
     """
 
     keeps_ids: bool = False
     evacuates: bool = False
     deafens: bool = False
     delays_orders: bool = False
+    announces_leaving: bool = False
 
 
 DEFAULT_VARIANT = Variant()
--- a/bergamotcourse/tests/platform/soak/test_soak.py
+++ b/bergamotcourse/tests/platform/soak/test_soak.py
@@ -38,6 +38,13 @@
         assert result.summary["faults"]["deafen"]
         assert result.violations == []
 
+    @pytest.mark.parametrize("seed", [1])
+    def test_no_violations_while_workers_leave_at_short_notice(self, seed, tmp_path):
+        variant = Variant(announces_leaving=True)
+        result = trio.run(run_soak, seed, 10.0, tmp_path, variant)
+        assert result.summary["faults"]["announce_leaving"]
+        assert result.violations == []
+
     @pytest.mark.parametrize("seed", [1306])
     def test_no_violations_while_workers_delay_orders(self, seed, tmp_path):
         result = trio.run(run_soak, seed, 10.0, tmp_path, Variant(delays_orders=True))
--- a/bergamotcourse/tests/platform/standins.py
+++ b/bergamotcourse/tests/platform/standins.py
@@ -239,6 +239,8 @@
             }
             if upstream.incarnation:
                 body["born"] = upstream.incarnation
+            if (left := upstream.remaining_seconds()) is not None:
+                body["remaining_ms"] = round(left * 1000)
             target = f"/bergamotcourse/Instances.Heartbeat/{self.upstream.id}"
             request = HttpRequest("POST", target, [], msgspec.json.encode(body))
             answer = await client.request(request, 1.0)
--- a/bergamotcourse/tests/platform/test_documents.py
+++ b/bergamotcourse/tests/platform/test_documents.py
@@ -126,6 +126,24 @@
             "i-1", encode_with_changes(HEARTBEAT, state="draining")
         ).draining
 
+    @pytest.mark.parametrize(
+        "state, fields, remaining, cold",
+        [
+            ("draining", {"remaining_ms": 1500, "cold_remaining_ms": 250}, 1.5, 0.25),
+            ("draining", {"remaining_ms": 0}, 0.0, 0.0),
+            ("draining", {}, None, 0.0),
+            ("ready", {"remaining_ms": 1500}, None, 0.0),
+            ("ready", {"remaining_ms": "soon"}, None, 0.0),
+        ],
+    )
+    def test_times_left_are_decoded(self, state, fields, remaining, cold):
+        """The time until a worker leaves counts only while it drains."""
+        ignored = []
+        body = encode_with_changes(HEARTBEAT, state=state, **fields)
+        report = decode_report("i-1", body, ignored.append)
+        assert (report.remaining_seconds, report.cold_seconds) == (remaining, cold)
+        assert ignored == []
+
     @given(st.binary(max_size=200))
     def test_arbitrary_bytes_raise_only_value_error(self, body):
         with contextlib.suppress(ValueError):
--- a/bergamotcourse/tests/platform/test_reports.py
+++ b/bergamotcourse/tests/platform/test_reports.py
@@ -8,6 +8,7 @@
 
 from bergamotcourse.coordination.event_log import EventLog
 from bergamotcourse.coordination.jobs.upstream_life import UpstreamLife
+from bergamotcourse.platform import reports
 from bergamotcourse.platform.reports import WorkerReportHandler
 from bergamotcourse.protocol.upstream_orders import LifeKey
 from bergamotcourse.state.resources import NO_RESOURCES
@@ -122,6 +123,44 @@
         assert len(malformed) == (body == b'{"born": "x"}')
 
 
+class TestIgnoredFields:
+    @pytest.mark.parametrize("field", ["remaining_ms", "cold_remaining_ms"])
+    @pytest.mark.parametrize(
+        "value, why",
+        [
+            *((value, "out of range") for value in ("-1", "600001", "9" * 400)),
+            *((value, "not a number") for value in ("null", "true", '"1"', "[1]")),
+            *((value, "not a number") for value in ("{}", "1e999", "9" * 5000)),
+        ],
+    )
+    def test_bad_value_is_logged_once_and_the_rest_is_used(self, field, value, why):
+        """Guards against an agent without an upstream because of one field."""
+        agent = Agent()
+        body = encode_with_changes(state="draining")[:-1]
+        for _ in range(3):
+            assert agent.report(body + f',"{field}":{value}}}'.encode()) == 200
+        fields = {"upstream": "i-1", "field": field, "why": why}
+        assert agent.lines == [("report.field_ignored", fields)]
+        report = agent.executor.life.report
+        assert (report.remaining_seconds, report.cold_seconds) == (None, 0.0)
+        assert report.draining and report.capacity.cpu
+
+    def test_each_upstream_and_each_kind_of_fault_is_logged(self):
+        agent = Agent()
+        for upstream in ("i-1", "i-2"):
+            for value in (-1, "soon", -2):
+                body = encode_with_changes(cold_remaining_ms=value)
+                assert agent.report(body, upstream) == 200
+        assert len(agent.lines) == 4
+
+    def test_remembered_faults_are_bounded(self, monkeypatch):
+        monkeypatch.setattr(reports, "MAX_LOGGED_FAULTS", 3)
+        agent = Agent()
+        for number in range(10):
+            agent.report(encode_with_changes(cold_remaining_ms=-1), f"i-{number}")
+        assert len(agent.handler.logged_faults) <= 3
+
+
 class TestReports:
     def test_report_of_own_worker_is_accepted(self):
         agent = Agent()
