--- a/bergamotcourse/tests/jobs/test_leaving_upstreams.py
+++ b/bergamotcourse/tests/jobs/test_leaving_upstreams.py
@@ -37,9 +37,15 @@
     return answer.at - begun_at
 
 
-def without_progress(holding):
-    running = tuple(replace(run, progress=0.0) for run in holding.running)
-    return replace(holding, running=running)
+def hide_progress(upstream):
+    hold = upstream.handle_hold
+
+    def hold_without_progress(*order):
+        holding = hold(*order)
+        running = tuple(replace(run, progress=0.0) for run in holding.running)
+        return replace(holding, running=running)
+
+    upstream.handle_hold = hold_without_progress
 
 
 def leave_after(fleet, notice, stays):
@@ -96,8 +102,6 @@
         async def main(fleet):
             async def leave(agent):
                 upstream = fleet.upstreams[agent]
-                hold = upstream.handle_hold
-                upstream.handle_hold = lambda *order: without_progress(hold(*order))
                 fleet.drain_upstream(agent, 1.6)
                 await trio.sleep(1.0)
                 if not answers:
@@ -106,6 +110,8 @@
                 assert fleet.history[0].kind is EndKind.STOPPED
                 upstream.crash()
 
+            for upstream in fleet.upstreams.values():
+                hide_progress(upstream)
             await run_long_job(fleet, leave)
 
         run_fleet(main, policy=JobPolicy.without(["moves_runs"]))
