Store a drain that begins while the agent stops

A drain was passed on and stored only if it changed the reason for refusing tasks. An agent that is stopping gives the same reason before and after, so the next process recalled the upstream as ready and started runs there until the next report. The drain is now part of the reported state.

--- a/bergamotcourse/platform/reports.py
+++ b/bergamotcourse/platform/reports.py
@@ -29,8 +29,8 @@
     """Handles workers' heartbeats and departure notices.
 
     Attributes:
-        on_change: Called after a heartbeat that changed the worker's incarnation, the
-            reason for refusing tasks, or the capacity.
+        on_change: Called after a heartbeat that changed the worker's incarnation,
+            whether it drains, the reason for refusing tasks, or the capacity.
         read_service: Returns the current service of this machine's worker; empty if
             the platform does not specify it.
         service: The service that was read last.
@@ -104,15 +104,19 @@
             why=field.fault.value,
         )
 
-    def _reported_state(self) -> tuple[LifeKey | None, str | None, Resources]:
+    def _reported_state(
+        self,
+    ) -> tuple[LifeKey | None, bool, str | None, Resources]:
         """Return the state that ``on_change`` reports.
 
-        It consists of the worker's id and incarnation, the reason for refusing tasks,
-        and the capacity.
+        It consists of the worker's id and incarnation, whether it drains, the reason
+        for refusing tasks, and the capacity. The reason alone does not show a drain
+        that begins while the agent stops or its zone is evacuated.
         """
         executor = self.executor
         life = executor.life.report.life if executor.life else None
-        return life, executor.refusal(), executor.capacity()
+        draining = executor.life is not None and executor.life.report.draining
+        return life, draining, executor.refusal(), executor.capacity()
 
     def _check_service(self, report: UpstreamReport) -> None:
         """Check that a report is of this machine's service.
--- a/bergamotcourse/tests/platform/test_reports.py
+++ b/bergamotcourse/tests/platform/test_reports.py
@@ -167,6 +167,18 @@
         assert agent.report(encode_with_changes()) == 200
         assert [report.id for report in agent.executor.reports] == ["i-1"]
 
+    def test_drain_reported_to_a_stopping_agent_calls_on_change(self):
+        """Guards against a next agent process that starts runs on a leaving worker.
+
+        The drain is stored for it only if ``on_change`` is called, and a stopping agent
+        gives the same reason for refusing tasks before and after the report.
+        """
+        agent = Agent()
+        agent.executor.refusal = lambda: "the agent is stopping"
+        agent.report(encode_with_changes())
+        agent.report(encode_with_changes(state="draining", sequence=1000))
+        assert agent.changes == 2
+
     def test_changed_capacity_calls_on_change(self):
         agent = Agent()
         agent.report(encode_with_changes())
