Place tasks by the measured speed of upstreams

A quarter of the upstreams at less than half the speed of the others made a tenth of the jobs late, as placement did not consider speed. Agents now measure the slowness of each life of their upstream, and entries place tasks where they end in time, fast upstreams first.

--- a/bergamotcourse/coordination/jobs/agent_links.py
+++ b/bergamotcourse/coordination/jobs/agent_links.py
@@ -1,7 +1,7 @@
 """An entry's links to all agents: candidates for placement and the runs placed."""
 
 import itertools
-from collections.abc import Callable
+from collections.abc import Callable, Iterator
 from dataclasses import dataclass, field
 from typing import Any
 
@@ -73,6 +73,15 @@
     other_in_contact: list[AgentLink] = field(default_factory=list)
     other_without_contact: list[AgentLink] = field(default_factory=list)
 
+    def all(self) -> Iterator[AgentLink]:
+        """Return all agents."""
+        return itertools.chain(
+            self.preferred_in_contact,
+            self.preferred_without_contact,
+            self.other_in_contact,
+            self.other_without_contact,
+        )
+
     def by_preference(self) -> tuple[tuple[list[AgentLink], list[AgentLink]], ...]:
         """Return pairs of agents with and without contact, this entry's share first."""
         return (
--- a/bergamotcourse/coordination/jobs/entry_contacts.py
+++ b/bergamotcourse/coordination/jobs/entry_contacts.py
@@ -360,4 +360,6 @@
             receiver_committed=executor.registry.committed(entry),
             on_trial=executor.health.on_trial(),
             life=executor.answering_life(),
+            slowness_percent=executor.speed.slowness_percent(),
+            cold_ms=executor.speed.cold_ms(self.timers.now()),
         )
--- a/bergamotcourse/coordination/jobs/executor.py
+++ b/bergamotcourse/coordination/jobs/executor.py
@@ -33,6 +33,7 @@
 from bergamotcourse.coordination.jobs.task_runs import PlacedRun, RunState
 from bergamotcourse.coordination.jobs.upstream_health import UpstreamHealth
 from bergamotcourse.coordination.jobs.upstream_life import UpstreamLife
+from bergamotcourse.coordination.jobs.upstream_speed import UpstreamSpeed
 from bergamotcourse.coordination.timers import Timers
 from bergamotcourse.ids import NO_LIFE, LifeChecksum, LinkAddress
 from bergamotcourse.protocol.task_messages import PlaceTask, RunOutcome
@@ -81,6 +82,7 @@
         life: The current life of the upstream; ``None`` without an upstream.
         lives: The lives of upstreams that this agent has seen.
         reconciler: Applies the lists of runs and ends in the upstream's answers.
+        speed: Speed of the upstream in its current life.
         hold_count: Holds begun so far, also the number of the latest.
         paused_until: No run is started before this time.
         stopping: The agent is stopping and accepts no runs.
@@ -111,6 +113,7 @@
         self.stopping = False
         self.evacuated = False
         self.health = self._new_health()
+        self.speed = UpstreamSpeed()
         self.nursery: trio.Nursery | None = None
         self.wake = trio.Event()
 
@@ -158,7 +161,14 @@
         self.log.write("upstream.recalled", upstream=report.id)
         incarnation = answer.incarnation or report.incarnation
         self._begin_life(
-            replace(report, clock=answer.clock, sequence=0, incarnation=incarnation)
+            replace(
+                report,
+                clock=answer.clock,
+                sequence=0,
+                incarnation=incarnation,
+                # The stored report is of an unknown age.
+                cold_seconds=0.0,
+            )
         )
 
     def handle_upstream_departure(self, gone: LifeKey) -> None:
@@ -517,7 +527,7 @@
     def _handle_holding(
         self, life: UpstreamLife, holding: Holding, number: int
     ) -> None:
-        self.reconciler.reconcile(life, self.health, holding, number)
+        self.reconciler.reconcile(life, self.health, self.speed, holding, number)
         self._move_runs(life.answer_made_at)
         self.start_queued_runs()
 
@@ -556,6 +566,8 @@
             self.process_started_at + UPSTREAM_LEASE_EXPIRY_SECONDS,
         )
         self.health = self._new_health()
+        self.speed = UpstreamSpeed()
+        self.speed.record_cold(report.cold_seconds, self.timers.now())
         self.log.write(
             "upstream.found",
             upstream=report.id,
@@ -588,6 +600,7 @@
         """End the current life and finish its started runs with ``outcome``."""
         life = self.life
         self.life = None
+        self.speed = UpstreamSpeed()
         self.log.write("upstream.gone", upstream=life.report.id, why=why)
         self.nursery.start_soon(life.port.aclose)
         self.registry.return_queued_runs("the upstream is gone")
@@ -606,6 +619,7 @@
         capacity = life.report.capacity
         life.report = report
         life.update_clock(report.clock, self.timers.lease_now())
+        self.speed.record_cold(report.cold_seconds, self.timers.now())
         if began_draining:
             self.log.write("upstream.draining", upstream=report.id)
             self.registry.return_queued_runs("the upstream is draining")
--- a/bergamotcourse/coordination/jobs/holding_reconciler.py
+++ b/bergamotcourse/coordination/jobs/holding_reconciler.py
@@ -7,6 +7,7 @@
 from bergamotcourse.coordination.jobs.task_runs import PlacedRun
 from bergamotcourse.coordination.jobs.upstream_health import UpstreamHealth
 from bergamotcourse.coordination.jobs.upstream_life import UpstreamLife
+from bergamotcourse.coordination.jobs.upstream_speed import UpstreamSpeed
 from bergamotcourse.coordination.timers import Timers
 from bergamotcourse.ids import NO_LIFE, LifeChecksum
 from bergamotcourse.protocol.task_messages import RunOutcome, TaskEnded
@@ -47,6 +48,7 @@
         self,
         life: UpstreamLife,
         health: UpstreamHealth,
+        speed: UpstreamSpeed,
         holding: Holding,
         number: int,
     ) -> None:
@@ -55,6 +57,7 @@
         Args:
             life: The life.
             health: Receives the ends of runs.
+            speed: Receives the run times of completed runs.
             holding: The lists.
             number: Number of the hold that they answer. A run whose start or stop was
                 confirmed before that hold began must be listed if it still runs.
@@ -62,7 +65,7 @@
         for ended in holding.ended:
             if ended.number > life.processed_ends:
                 life.processed_ends = ended.number
-                self._handle_run_end(ended, life, health)
+                self._handle_run_end(ended, life, health, speed)
         life.listed_at = life.answer_made_at
         listed = {running.key: running for running in holding.running}
         life.listed_runs = len(listed)
@@ -98,13 +101,20 @@
         self.registry.finish(run, RunOutcome.LOST, why, interrupted=interrupted)
 
     def _handle_run_end(
-        self, ended: EndedRun, life: UpstreamLife, health: UpstreamHealth
+        self,
+        ended: EndedRun,
+        life: UpstreamLife,
+        health: UpstreamHealth,
+        speed: UpstreamSpeed,
     ) -> None:
         run = self.registry.runs.get(ended.key)
         if run is None:
             self._handle_late_end(ended)
             return
         ran = self._run_seconds(run, life)
+        if ended.kind is EndKind.DONE and run.order and not health.on_trial():
+            # On trial, the upstream is slower or faster than it usually is.
+            speed.record_run(run.order.estimate, ran, run.started_at)
         health.record_end(ended.kind, run, ran, self.timers.now())
         outcome = OUTCOME_BY_END_KIND[ended.kind]
         if run.is_moving and outcome is RunOutcome.STOPPED:
--- a/bergamotcourse/coordination/jobs/job_dispatcher.py
+++ b/bergamotcourse/coordination/jobs/job_dispatcher.py
@@ -26,6 +26,7 @@
 )
 from bergamotcourse.coordination.jobs.policy import JobPolicy
 from bergamotcourse.coordination.jobs.rack_demand import RackDemand
+from bergamotcourse.coordination.jobs.speed_placement import SpeedRound, SpeedTable
 from bergamotcourse.coordination.jobs.work_estimates import WorkEstimates
 from bergamotcourse.coordination.timers import Timers
 from bergamotcourse.ids import NO_LIFE
@@ -62,6 +63,7 @@
     Attributes:
         jobs: Admitted jobs that still have callers, by id.
         waiting: Jobs with tasks that are ready to be placed.
+        speeds: Speeds of the agents.
         delayed: Tasks that are placed again after a delay.
         outcomes: Number of jobs by outcome.
         had_waiting_jobs: Jobs were still waiting after the last placement round.
@@ -90,6 +92,7 @@
         self.waiting: list[JobRun] = []
         self.delayed: list[TaskRun] = []
         self.estimates = WorkEstimates()
+        self.speeds = SpeedTable(log, self.policy.weighs_speed)
         self.outcomes: Counter[JobOutcome] = Counter()
         self.had_waiting_jobs = False
         self.started_at = timers.now()
@@ -168,7 +171,9 @@
         if not self.waiting:
             return
         now = self.timers.now()
+        self.speeds.update(self.links.links.values(), now)
         choices = self.links.placement_candidates()
+        speeds = SpeedRound(self.speeds, choices, now)
         if self.policy.puts_urgent_first:
             self.waiting.sort(key=lambda job: dispatch_order_key(job, now))
         blocked = 0
@@ -176,7 +181,7 @@
             if not self.links.may_send():
                 # Acknowledgements that make room also start the next round.
                 break
-            blocked += not self._place_pending_tasks(job, choices, now)
+            blocked += not self._place_pending_tasks(job, speeds, now)
             if blocked > MAX_BLOCKED_JOBS:
                 break
         # Not before the placement: a job whose run was returned by an agent may have
@@ -235,6 +240,7 @@
         if ended.outcome is RunOutcome.DONE:
             if self.policy.learns_estimates:
                 declared = task.spec.estimate * self._remote_factor_of(task)
+                declared *= self.speeds.relative_slowness(link, self.timers.now())
                 self.estimates.record_run_time(
                     job.queue.name, declared, ended.run_seconds
                 )
@@ -373,13 +379,15 @@
 
     # Placement and outcomes of tasks.
 
-    def _place_pending_tasks(
-        self, job: JobRun, choices: PlacementCandidates, now: float
-    ) -> bool:
+    def _place_pending_tasks(self, job: JobRun, speeds: SpeedRound, now: float) -> bool:
         """Place the pending tasks of a job; return false once one finds no room."""
-        link = None
+        link, step = None, -1
         for task in job.pending_tasks():
-            link = self._choose_agent(job, task, choices, now, link)
+            if task.step != step and speeds.in_effect(job.queue.service):
+                # Another step may be in time at other agents.
+                link = None
+            step = task.step
+            link = self._choose_agent(job, task, speeds, now, link)
             if link is None:
                 return False
             self._place_task(job, task, link, now)
@@ -390,7 +398,7 @@
         self,
         job: JobRun,
         task: TaskRun,
-        choices: PlacementCandidates,
+        speeds: SpeedRound,
         now: float,
         previous: AgentLink | None,
     ) -> AgentLink | None:
@@ -399,7 +407,7 @@
         Args:
             job: The job.
             task: Its task.
-            choices: The agents on which it may be placed.
+            speeds: The agents on which it may be placed, and their speeds.
             now: The time.
             previous: The agent on which the previous task of the job was placed in this
                 round.
@@ -422,23 +430,31 @@
         ):
             # One message then carries both tasks, and the payload only once.
             return previous
-        link = self._choose_retrying_avoided(local_request, choices)
+        link = self._choose_retrying_avoided(task, local_request, speeds)
         if not local_rack:
             return link
         if link is None and job.may_run_remotely(now, self.remote_factor):
-            link = self._choose_retrying_avoided(request, choices)
+            link = self._choose_retrying_avoided(task, request, speeds)
         return link
 
     def _choose_retrying_avoided(
-        self, request: PlacementRequest, choices: PlacementCandidates
+        self, task: TaskRun, request: PlacementRequest, speeds: SpeedRound
     ) -> AgentLink | None:
-        link = self._choose_by_group(request, choices)
+        link = self._choose_by_speed(task, request, speeds)
         if link is None and request.avoid != request.excluded:
             # All other agents lack room or have failed the task as well.
             request = replace(request, avoid=request.excluded)
-            link = self._choose_by_group(request, choices)
+            link = self._choose_by_speed(task, request, speeds)
         return link
 
+    def _choose_by_speed(
+        self, task: TaskRun, request: PlacementRequest, speeds: SpeedRound
+    ) -> AgentLink | None:
+        if not speeds.in_effect(request.service):
+            return self._choose_by_group(request, speeds.candidates)
+        limit = speeds.limit(task.job, task, request, self.remote_factor)
+        return self._choose_by_group(replace(request, speed=limit), speeds.candidates)
+
     def _choose_by_group(
         self, request: PlacementRequest, choices: PlacementCandidates
     ) -> AgentLink | None:
--- a/bergamotcourse/coordination/jobs/placement.py
+++ b/bergamotcourse/coordination/jobs/placement.py
@@ -9,9 +9,11 @@
 """
 
 import itertools
+import math
 from dataclasses import dataclass
 
 from bergamotcourse.coordination.jobs.agent_link import AgentLink
+from bergamotcourse.ids import LinkAddress
 from bergamotcourse.state.job_spec import StepSpec
 
 OTHER_ZONE_PENALTY = 0.02
@@ -28,6 +30,24 @@
 agents, they would all place tasks on the same one."""
 
 
+@dataclass(frozen=True)
+class SpeedLimit:
+    """How slow an agent may be to get a task.
+
+    Attributes:
+        slowness: Slowness of the agents for the task, by address. Other agents don't
+            meet the task's requirements.
+        highest: Highest slowness of an agent that may get the task.
+    """
+
+    slowness: dict[LinkAddress, float]
+    highest: float
+
+    def allows(self, link: AgentLink) -> bool:
+        """Return whether an agent may get the task."""
+        return self.slowness.get(link.address, math.inf) <= self.highest
+
+
 @dataclass(frozen=True)
 class PlacementRequest:
     """What a task needs of an agent.
@@ -39,6 +59,7 @@
         zone: Zone of the entry.
         rack: Rack in which the task must run; empty for any.
         reserved: Racks left to tasks whose data is there while other racks have room.
+        speed: How slow an agent may be; ``None`` if all agents count as equally fast.
     """
 
     service: str
@@ -48,19 +69,20 @@
     rack: str = ""
     reserved: frozenset[str] = frozenset()
     excluded: frozenset[str] = frozenset()
+    speed: SpeedLimit | None = None
 
 
 def choose_in_contact(
     links: list[AgentLink], request: PlacementRequest
 ) -> AgentLink | None:
     """Return the best agent in contact for a task, or ``None`` if none has room."""
-    best, best_score = None, 0.0
+    best, best_rank = None, ()
     for link in links:
         if not can_accept_task(link, request):
             continue
-        score = placement_score(link, request)
-        if best is None or score < best_score:
-            best, best_score = link, score
+        rank = placement_rank(link, request)
+        if best is None or rank < best_rank:
+            best, best_rank = link, rank
     return best
 
 
@@ -76,24 +98,46 @@
     """
     suitable = (link for link in links if can_accept_task(link, request))
     drawn = itertools.islice(suitable, CANDIDATE_COUNT)
-    return min(drawn, key=lambda link: placement_score(link, request), default=None)
+    return min(drawn, key=lambda link: placement_rank(link, request), default=None)
 
 
 def can_accept_task(link: AgentLink, request: PlacementRequest) -> bool:
     """Return whether an agent meets the requirements of a task and has room for it."""
+    if not meets_requirements(link, request):
+        return False
+    if request.speed is not None and not request.speed.allows(link):
+        return False
+    needs = request.step.needs
+    if needs.cpu > link.room.capacity.cpu - link.load_cpu():
+        return False
+    return needs.fits(link.free())
+
+
+def meets_requirements(link: AgentLink, request: PlacementRequest) -> bool:
+    """Return whether an agent may run a task, apart from its room and speed."""
     if link.name in request.avoid:
         return False
     room = link.room
-    needs = request.step.needs
     if room.service != request.service:
         return False
     if request.step.label and request.step.label not in room.labels:
         return False
-    if request.rack and request.rack not in room.labels:
-        return False
-    if needs.cpu > room.capacity.cpu - link.load_cpu():
-        return False
-    return needs.fits(link.free())
+    return not request.rack or request.rack in room.labels
+
+
+def placement_rank(
+    link: AgentLink, request: PlacementRequest
+) -> tuple[bool, float, float]:
+    """Return the sort key of an agent with room for a task; the lowest is chosen."""
+    score = placement_score(link, request)
+    if request.speed is None:
+        return (False, 0.0, score)
+    return (is_reserved(link, request), request.speed.slowness[link.address], score)
+
+
+def is_reserved(link: AgentLink, request: PlacementRequest) -> bool:
+    """Return whether an agent's rack is reserved for other tasks."""
+    return not request.rack and not request.reserved.isdisjoint(link.room.labels)
 
 
 def placement_score(link: AgentLink, request: PlacementRequest) -> float:
@@ -101,5 +145,4 @@
     capacity = max(1, link.room.capacity.cpu)
     fullness = (link.load_cpu() + request.step.needs.cpu) / capacity
     far = OTHER_ZONE_PENALTY if link.zone != request.zone else 0.0
-    reserved = not request.rack and not request.reserved.isdisjoint(link.room.labels)
-    return fullness + far + reserved * RESERVED_RACK_PENALTY
+    return fullness + far + is_reserved(link, request) * RESERVED_RACK_PENALTY
--- a/bergamotcourse/daemons/job_entry.py
+++ b/bergamotcourse/daemons/job_entry.py
@@ -10,6 +10,7 @@
 from bergamotcourse.coordination.jobs.peers import Peers
 from bergamotcourse.coordination.jobs.processor_lag import ProcessorLag
 from bergamotcourse.coordination.jobs.queues_in_force import QueuesInForce
+from bergamotcourse.coordination.jobs.speed_placement import known_slowness
 from bergamotcourse.coordination.jobs.store_watch import (
     ConfigFeed,
     EntryRows,
@@ -71,6 +72,7 @@
         node.metrics.round_trips = lambda: {
             link.name: link.round_trip_seconds for link in self.links.links.values()
         }
+        node.metrics.slowness = self._known_slowness
         self.zones.on_change = self._zones_changed
         self.peers.agents = lambda: list(self.links.links)
         self.links.entries = lambda: list(self.peers.peers)
@@ -131,6 +133,13 @@
             case _:
                 self.peers.handle_message(sender, message)
 
+    def _known_slowness(self) -> dict[str, float]:
+        now = self.node.timers.now()
+        known = {
+            link.name: known_slowness(link, now) for link in self.links.links.values()
+        }
+        return {agent: value for agent, value in known.items() if value is not None}
+
     def _zones_changed(self) -> None:
         self.peers.announce_change()
         self.jobs.handle_evacuations()
--- a/bergamotcourse/daemons/job_metrics.py
+++ b/bergamotcourse/daemons/job_metrics.py
@@ -73,6 +73,7 @@
         retransmissions: Number of retransmissions by peer.
         bytes_by_peer: Returns the bytes sent to each peer.
         round_trips: Returns the latest round trip to each peer in seconds.
+        slowness: Returns the known slowness of each agent's upstream.
     """
 
     def __init__(self):
@@ -81,6 +82,7 @@
         self.retransmissions: Counter[str] = Counter()
         self.bytes_by_peer: Callable[[], Mapping[str, float]] = dict
         self.round_trips: Callable[[], Mapping[str, float]] = dict
+        self.slowness: Callable[[], Mapping[str, float]] = dict
 
     def sink(self, kind: str, fields: dict[str, Any]) -> None:
         """Count one event, and record its latency if it has one."""
--- a/bergamotcourse/daemons/job_metrics_page.py
+++ b/bergamotcourse/daemons/job_metrics_page.py
@@ -79,6 +79,14 @@
         for peer, seconds in metrics.round_trips().items():
             round_trips.add_metric([peer], seconds)
         yield round_trips
+        slowness = GaugeMetricFamily(
+            "bergamotcourse_agent_slowness",
+            "Run time over estimate at the upstream, by agent, where known.",
+            labels=["agent"],
+        )
+        for agent, ratio in metrics.slowness().items():
+            slowness.add_metric([agent], ratio)
+        yield slowness
 
 
 def render_metrics(metrics: JobMetrics) -> bytes:
--- a/bergamotcourse/tests/bench/test_replay.py
+++ b/bergamotcourse/tests/bench/test_replay.py
@@ -91,6 +91,37 @@
         # 0.926 without.
         assert earned[0] > earned[1]
 
+    def test_speed_earns_more_at_uneven_upstreams(self):
+        burst = Burst(at=1.0, seconds=2.0, factor=1.5, job="cast")
+        changes = {
+            "kinds": [*KINDS, Kind("cast", 0.05, 4, 1.8, worth=16.0)],
+            "load": 0.55,
+            "agents": 8,
+            "speeds": [0.55, 1.2, 1.2, 1.2],
+            "seconds": 4.0,
+            "events": [burst],
+        }
+        shares = [
+            sum(
+                replay_changed_load(policy, seed, **changes).total.share_earned()
+                for seed in (1, 2)
+            )
+            / 2
+            for policy in (JobPolicy(), JobPolicy.without(["weighs_speed"]))
+        ]
+        # 0.95 is the requirement for uneven upstreams in docs/design/load.md.
+        assert shares[0] >= 0.95 > shares[1]
+
+
+class TestEqualUpstreams:
+    def test_placement_is_the_same_with_and_without_weighing_speed(self):
+        """Guards against taking the spread of run times for uneven upstreams."""
+        first, without = (
+            replay_changed_load(policy, agents=8, seconds=3.0)
+            for policy in (JobPolicy(), JobPolicy.without(["weighs_speed"]))
+        )
+        assert first == without
+
 
 class TestPolicy:
     def test_mechanism_can_be_switched_off(self):
--- a/bergamotcourse/tests/daemons/test_job_metrics.py
+++ b/bergamotcourse/tests/daemons/test_job_metrics.py
@@ -43,5 +43,11 @@
         ):
             assert line in text
 
+    def test_tells_the_slowness_of_upstreams_by_agent(self):
+        metrics = JobMetrics()
+        metrics.slowness = lambda: {"agent-1": 1.8}
+        text = scrape(metrics).body.decode()
+        assert 'bergamotcourse_agent_slowness{agent="agent-1"} 1.8' in text
+
     def test_other_path_returns_404(self):
         assert scrape(JobMetrics(), "/other").status == 404
--- /dev/null
+++ b/bergamotcourse/tests/jobs/test_speed_placement.py
@@ -0,0 +1,167 @@
+from dataclasses import replace
+
+import msgspec
+import pytest
+from msgspec import structs
+
+from bergamotcourse.coordination.event_log import EventLog
+from bergamotcourse.coordination.jobs.agent_links import PlacementCandidates
+from bergamotcourse.coordination.jobs.job_run import JobRun
+from bergamotcourse.coordination.jobs.placement import choose_in_contact
+from bergamotcourse.coordination.jobs.speed_placement import (
+    COLD_FACTOR,
+    MAX_REPORT_AGE_SECONDS,
+    SpeedRound,
+    SpeedTable,
+    slowness_class,
+)
+from bergamotcourse.protocol.task_messages import AgentRoom
+from bergamotcourse.state.job_spec import JobId, JobSpec, StepSpec
+from bergamotcourse.state.resources import NO_RESOURCES
+from bergamotcourse.tests.jobs.test_placement import (
+    CAPACITY,
+    NEEDS,
+    make_link,
+    make_request,
+)
+from bergamotcourse.virtual.job_fleet import QUEUE
+
+NOW = 100.0
+
+
+def make_links(*percents, used=0):
+    """Return agents ``a0``, ``a1`` and so on with these values of slowness."""
+    links = []
+    for number, percent in enumerate(percents):
+        link = make_link(f"a{number}", used)
+        link.room = structs.replace(link.room, slowness_percent=percent)
+        link.last_received_at = link.echo_received_at = NOW
+        links.append(link)
+    return links
+
+
+def make_table(links, now=NOW, enabled=True, events=None):
+    events = [] if events is None else events
+    log = EventLog(lambda kind, fields: events.append((kind, fields)))
+    table = SpeedTable(log, enabled)
+    table.update(links, now)
+    return table
+
+
+def relative(links, now=NOW, enabled=True):
+    table = make_table(links, now, enabled)
+    return [table.relative_slowness(link, now) for link in links]
+
+
+class TestSpeedTable:
+    def test_slowness_is_relative_to_the_median(self):
+        """Guards against taking an error common to all estimates for slowness."""
+        assert relative(make_links(400, 200, 200, 200)) == [2.0, 1.0, 1.0, 1.0]
+
+    def test_unknown_speed_counts_as_the_median(self):
+        assert relative(make_links(0, 90, 90, 90, 180))[0] == 1.0
+
+    @pytest.mark.parametrize(
+        "percents", [(100, 100, 100, 149), (100, 100, 200), (100, 100, 200, 0)]
+    )
+    def test_agents_of_similar_speed_or_too_few_count_as_equal(self, percents):
+        assert set(relative(make_links(*percents))) == {1.0}
+
+    def test_switched_off_part_has_no_effect(self):
+        assert set(relative(make_links(100, 100, 100, 300), enabled=False)) == {1.0}
+
+    def test_report_of_a_silent_agent_expires(self):
+        links = make_links(100, 100, 100, 100, 300)
+        later = NOW + MAX_REPORT_AGE_SECONDS + 0.1
+        links[0].last_received_at = links[1].last_received_at = later
+        links[2].last_received_at = links[3].last_received_at = later
+        assert relative(links)[4] == 3.0
+        assert set(relative(links, later)) == {1.0}
+
+    def test_services_are_compared_on_their_own(self):
+        links = make_links(100, 100, 100, 100, 300, 300)
+        for link in links[4:]:
+            link.room = structs.replace(link.room, service="loans")
+        assert set(relative(links)) == {1.0}
+
+    def test_cold_upstream_is_slower_until_it_is_warm(self):
+        links = make_links(100, 100, 100, 200)
+        links[0].room = structs.replace(links[0].room, cold_ms=500)
+        assert relative(links, NOW + 0.4)[0] == COLD_FACTOR
+        assert relative(links, NOW + 0.6)[0] == 1.0
+
+    def test_coming_into_and_out_of_effect_is_logged_once(self):
+        events = []
+        links = make_links(100, 100, 100, 200)
+        table = make_table(links, events=events)
+        table.update(links, NOW + 1)
+        table.update(links, NOW + 2 * MAX_REPORT_AGE_SECONDS)
+        assert [fields["in_effect"] for _, fields in events] == [True, False]
+        assert events[0][0] == "placement.speeds"
+        assert events[0][1]["slowest"] == 2.0
+        assert (events[0][1]["fastest"], events[0][1]["known"]) == (1.0, 4)
+
+    def test_message_of_an_older_process_has_an_unknown_speed(self):
+        room = AgentRoom("votes", (), CAPACITY, NO_RESOURCES, NO_RESOURCES, False)
+        older = msgspec.msgpack.encode(msgspec.to_builtins(room)[:-2])
+        decoded = msgspec.msgpack.decode(older, type=AgentRoom)
+        assert (decoded.slowness_percent, decoded.cold_ms) == (0, 0)
+
+
+class TestSlownessClass:
+    @pytest.mark.parametrize("slowness", [0.78, 1.0, 1.29])
+    def test_speeds_near_the_median_are_equal(self, slowness):
+        assert slowness_class(slowness) == 1.0
+
+    def test_other_speeds_keep_their_order(self):
+        assert slowness_class(0.5) < 1.0 < slowness_class(1.5) < slowness_class(2.2)
+
+
+class TestChoice:
+    """The slow agent takes twice as long as the others, which have the median speed."""
+
+    def choose(self, links, estimate, waited=0.0, spec=None, **request):
+        spec = spec or JobSpec(JobId("j"), "", (StepSpec(1, NEEDS, estimate),))
+        job = JobRun(spec, QUEUE, NOW - waited)
+        candidates = PlacementCandidates(preferred_in_contact=links)
+        speeds = SpeedRound(make_table(links), candidates, NOW)
+        request = make_request(**request)
+        limit = speeds.limit(job, job.tasks[0], request, 2.0)
+        link = choose_in_contact(links, replace(request, speed=limit))
+        return link and link.name
+
+    def agents(self, fast_used, slow_used=0):
+        return make_links(100, 100, 100, used=fast_used) + self.slow(slow_used)
+
+    def slow(self, used):
+        return make_links(0, 0, 0, 200, used=used)[3:]
+
+    def test_fast_agents_come_first(self):
+        assert self.choose(self.agents(15_000), 0.05) in ("a0", "a1", "a2")
+
+    def test_slow_agent_is_used_for_a_task_that_is_in_time_there(self):
+        assert self.choose(self.agents(30_000), 0.05) == "a3"
+
+    def test_task_waits_that_is_in_time_only_at_full_agents(self):
+        assert self.choose(self.agents(30_000), 1.0) is None
+
+    def test_task_that_is_late_everywhere_takes_any_agent(self):
+        assert self.choose(self.agents(30_000), 1.0, waited=0.7) == "a3"
+
+    def test_draining_agents_are_not_waited_for(self):
+        links = self.agents(30_000)
+        for link in links[:3]:
+            link.room = structs.replace(link.room, capacity=NO_RESOURCES)
+        assert self.choose(links, 1.0) == "a3"
+
+    def test_avoided_agents_are_not_waited_for(self):
+        assert self.choose(self.agents(0), 1.0, avoid=["a0", "a1", "a2"]) == "a3"
+
+    def test_time_of_later_steps_is_reserved(self):
+        """Guards against a first step that takes the whole slack of its job."""
+        steps = (StepSpec(1, NEEDS, 0.05), StepSpec(1, NEEDS, 1.0, (0,)))
+        links = self.agents(30_000)
+        assert self.choose(links, 0.0, spec=JobSpec(JobId("j"), "", steps)) == "a3"
+        assert (
+            self.choose(links, 0.0, 0.65, spec=JobSpec(JobId("j"), "", steps)) is None
+        )
