--- a/bergamotcourse/tests/jobs/test_speed_placement.py
+++ b/bergamotcourse/tests/jobs/test_speed_placement.py
@@ -11,20 +11,22 @@
 from bergamotcourse.coordination.jobs.speed_placement import (
     COLD_FACTOR,
     MAX_REPORT_AGE_SECONDS,
+    ServiceSpeeds,
     SpeedRound,
     SpeedTable,
     slowness_class,
 )
-from bergamotcourse.protocol.task_messages import AgentRoom
+from bergamotcourse.protocol.task_messages import AgentRoom, RunOutcome, TaskEnded
 from bergamotcourse.state.job_spec import JobId, JobSpec, StepSpec
 from bergamotcourse.state.resources import NO_RESOURCES
+from bergamotcourse.tests.jobs.fleets import run_fleet
 from bergamotcourse.tests.jobs.test_placement import (
     CAPACITY,
     NEEDS,
     make_link,
     make_request,
 )
-from bergamotcourse.virtual.job_fleet import QUEUE
+from bergamotcourse.virtual.job_fleet import QUEUE, SERVICE, job
 
 NOW = 100.0
 
@@ -165,3 +167,19 @@
         assert (
             self.choose(links, 0.0, 0.65, spec=JobSpec(JobId("j"), "", steps)) is None
         )
+
+
+class TestEstimates:
+    def test_slow_upstream_does_not_lengthen_the_estimates_of_a_queue(self):
+        async def main(fleet):
+            jobs = fleet.entries["entry-1"].jobs
+            jobs.speeds.services[SERVICE] = ServiceSpeeds(2.0, 1.0, 1.0, 4)
+            link = next(iter(jobs.links.links.values()))
+            link.room = structs.replace(link.room, slowness_percent=200)
+            for _ in range(200):
+                [task] = JobRun(job("a", 1, 0.2), QUEUE, 0.0).tasks
+                ended = TaskEnded(task.key, RunOutcome.DONE, run_seconds=0.4)
+                jobs.handle_run_outcome(task, link, ended)
+            assert jobs.estimates.factor(QUEUE.name) == pytest.approx(1.0)
+
+        run_fleet(main)
