--- a/bergamotcourse/coordination/jobs/speed_placement.py
+++ b/bergamotcourse/coordination/jobs/speed_placement.py
@@ -20,7 +20,6 @@
 from bergamotcourse.coordination.jobs.placement import (
     PlacementRequest,
     SpeedLimit,
-    can_accept_task,
     meets_requirements,
 )
 from bergamotcourse.ids import LinkAddress
@@ -187,10 +186,6 @@
             self.slowness[link.address] = known
         return known
 
-    def has_slower_room(self, request: PlacementRequest) -> bool:
-        """Return whether an agent has room for a task, of whatever speed."""
-        return any(can_accept_task(link, request) for link in self.candidates.all())
-
 
 def known_slowness(link: AgentLink, now: float) -> float | None:
     """Return the slowness that an agent has reported lately; ``None`` if unknown."""
