--- a/bergamotcourse/coordination/jobs/placement.py
+++ b/bergamotcourse/coordination/jobs/placement.py
@@ -97,6 +97,8 @@
         request: What the task needs.
     """
     suitable = (link for link in links if can_accept_task(link, request))
+    if request.speed is not None:
+        suitable = sorted(suitable, key=lambda link: placement_rank(link, request)[:2])
     drawn = itertools.islice(suitable, CANDIDATE_COUNT)
     return min(drawn, key=lambda link: placement_rank(link, request), default=None)
 
--- a/bergamotcourse/tests/jobs/test_speed_placement.py
+++ b/bergamotcourse/tests/jobs/test_speed_placement.py
@@ -7,7 +7,10 @@
 from bergamotcourse.coordination.event_log import EventLog
 from bergamotcourse.coordination.jobs.agent_links import PlacementCandidates
 from bergamotcourse.coordination.jobs.job_run import JobRun
-from bergamotcourse.coordination.jobs.placement import choose_in_contact
+from bergamotcourse.coordination.jobs.placement import (
+    choose_in_contact,
+    choose_without_contact,
+)
 from bergamotcourse.coordination.jobs.speed_placement import (
     COLD_FACTOR,
     MAX_REPORT_AGE_SECONDS,
@@ -122,14 +125,22 @@
 class TestChoice:
     """The slow agent takes twice as long as the others, which have the median speed."""
 
-    def choose(self, links, estimate, waited=0.0, spec=None, **request):
+    def choose(
+        self,
+        links,
+        estimate,
+        waited=0.0,
+        spec=None,
+        choose_from=choose_in_contact,
+        **request,
+    ):
         spec = spec or JobSpec(JobId("j"), "", (StepSpec(1, NEEDS, estimate),))
         job = JobRun(spec, QUEUE, NOW - waited)
         candidates = PlacementCandidates(preferred_in_contact=links)
         speeds = SpeedRound(make_table(links), candidates, NOW)
         request = make_request(**request)
         limit = speeds.limit(job, job.tasks[0], request, 2.0)
-        link = choose_in_contact(links, replace(request, speed=limit))
+        link = choose_from(links, replace(request, speed=limit))
         return link and link.name
 
     def agents(self, fast_used, slow_used=0):
@@ -141,6 +152,11 @@
     def test_fast_agents_come_first(self):
         assert self.choose(self.agents(15_000), 0.05) in ("a0", "a1", "a2")
 
+    def test_fast_agent_without_contact_comes_before_many_slow_ones(self):
+        links = make_links(200, 200, 200, 200, 100, 100, 100, 100, 100)
+        chosen = self.choose(links, 0.05, choose_from=choose_without_contact)
+        assert chosen in ("a4", "a5", "a6", "a7", "a8")
+
     def test_slow_agent_is_used_for_a_task_that_is_in_time_there(self):
         assert self.choose(self.agents(30_000), 0.05) == "a3"
 
