Name the processor limits in the error of malformed settings

A limit that is not a number ended the start with an error that did not name its key. The limits are checked like the other numbers; an empty one is allowed, as it means that there is none.

--- a/bergamotcourse/platform/settings_file.py
+++ b/bergamotcourse/platform/settings_file.py
@@ -36,7 +36,12 @@
         raise BergamotcourseError(fault) from error
 
 
-NUMERIC_KEYS = ("bounds.grace_s", "bounds.remote_factor")
+NUMERIC_KEYS = (
+    "bounds.grace_s",
+    "bounds.remote_factor",
+    "limits.cpu_share",
+    "limits.cpu_cores",
+)
 
 
 def parse_settings(text: str) -> NodeSettings:
@@ -103,7 +108,7 @@
         return [f"{key} is not of the form IP:PORT: {part}" for part in wrong]
     if key == "internal_ports" and not value.split(",")[0].isdigit():
         return [f"{key} names no port: {value}"]
-    if key in NUMERIC_KEYS and not is_number(value):
+    if key in NUMERIC_KEYS and value and not is_number(value):
         return [f"{key} is not a number: {value}"]
     return []
 
