Compare the speeds of upstreams without the outermost tenth

Among hundreds of upstreams of equal speed the extreme averages can differ by the factor from which placement goes by speed. The slowest and fastest tenth are left out of that comparison.

--- a/bergamotcourse/coordination/jobs/speed_placement.py
+++ b/bergamotcourse/coordination/jobs/speed_placement.py
@@ -28,6 +28,10 @@
 """Least ratio of the slowest to the fastest known agent from which speeds matter. The
 averages of upstreams of equal speed differ by a factor of up to 1.35."""
 
+OUTLIER_SHARE = 0.1
+"""Share of the agents on either side that is not compared: among hundreds of upstreams
+of equal speed, the extreme averages may differ by ``MIN_SPREAD`` by chance."""
+
 MIN_KNOWN_AGENTS = 4
 """Fewest agents with a known speed for which speeds matter."""
 
@@ -49,8 +53,9 @@
     """The known speeds of a service's agents.
 
     Attributes:
-        slowest: Slowness of the slowest agent; 1 if tasks take their estimate.
-        fastest: Slowness of the fastest agent.
+        slowest: Slowness of the slowest agent that is compared; 1 if tasks take their
+            estimate.
+        fastest: Slowness of the fastest agent that is compared.
         median: Median slowness, that of an actual agent.
         known: Number of agents with a known speed.
     """
@@ -198,9 +203,14 @@
 
 
 def summarize(known: list[float]) -> ServiceSpeeds:
-    """Return the speeds of a service from the known slowness of its agents."""
+    """Return the speeds of a service from the known slowness of its agents.
+
+    The outermost tenth on either side is left out.
+    """
+    ranked = sorted(known)
+    outer = int(len(ranked) * OUTLIER_SHARE)
     return ServiceSpeeds(
-        max(known), min(known), statistics.median_low(known), len(known)
+        ranked[-1 - outer], ranked[outer], statistics.median_low(ranked), len(ranked)
     )
 
 
--- a/bergamotcourse/tests/jobs/test_speed_placement.py
+++ b/bergamotcourse/tests/jobs/test_speed_placement.py
@@ -72,6 +72,11 @@
     def test_agents_of_similar_speed_or_too_few_count_as_equal(self, percents):
         assert set(relative(make_links(*percents))) == {1.0}
 
+    def test_single_outliers_among_many_agents_have_no_effect(self):
+        """Guards against waiting for speed where averages differ by chance only."""
+        percents = (70, 130, *[100] * 18)
+        assert set(relative(make_links(*percents))) == {1.0}
+
     def test_switched_off_part_has_no_effect(self):
         assert set(relative(make_links(100, 100, 100, 300), enabled=False)) == {1.0}
 
