Refuse jobs by a forecast of the backlog

A job without room was refused only after 0.35 of its slack, also if its refusal was certain on arrival. The entry now measures the rate at which it gets CPU, and refuses a job at once if the work ahead of it takes longer than its placement deadline.

Retry-After of refusals for lack of room is drawn from the time to serve the backlog and the refused jobs. Load files get the share of callers that return, and priorities.

--- a/bergamotcourse/bench/replay/load_file.py
+++ b/bergamotcourse/bench/replay/load_file.py
@@ -31,6 +31,7 @@
         slack_factor: Factor of the latency objective that applies to the work.
         target: Constant part of the latency objective, in seconds.
         payload_bytes: Size of the payload that each task receives, in bytes.
+        priority: Priority of the kind's queue; 0 is the highest.
         crashing: Share of the jobs that have a task which crashes every upstream
             that runs it; these jobs are not counted.
     """
@@ -43,6 +44,7 @@
     slack_factor: Positive = 1.6
     target: Seconds = 0.06
     payload_bytes: Count = 1
+    priority: Annotated[int, msgspec.Meta(ge=0)] = 0
     crashing: Share = 0.0
 
 
@@ -153,6 +155,8 @@
             takes precedence over ``slowest``.
         link_mbps: Bandwidth of each entry's link in each direction, in Mbit/s;
             0 means no limit.
+        returns: Share of the refused callers that submit a new job after
+            ``Retry-After``.
     """
 
     kinds: list[Kind]
@@ -167,6 +171,7 @@
     link_mbps: Rate = 0.0
     spread: Seconds = 0.44
     error: Share = 0.2
+    returns: Share = 0.0
 
 
 def read_load(path: str) -> Result[Load, list[Issue]]:
--- a/bergamotcourse/bench/replay/report.py
+++ b/bergamotcourse/bench/replay/report.py
@@ -17,6 +17,7 @@
     "refused",
     "after",
     "lost",
+    "peak",
 )
 
 
@@ -37,6 +38,7 @@
         f"{row.mean(lambda one: len(one.total.refusals) / one.total.count):.3f}",
         f"{row.mean(median_refusal):.3f}",
         f"{row.mean(lambda one: one.total.failed / one.total.count):.3f}",
+        f"{row.mean(ReplayOutcome.peak_arrivals):.0f}",
     ]
 
 
--- a/bergamotcourse/bench/replay/run.py
+++ b/bergamotcourse/bench/replay/run.py
@@ -10,6 +10,7 @@
 from bergamotcourse.bench.replay.faults import FaultInjector
 from bergamotcourse.bench.replay.load_file import Burst, Kind, Load
 from bergamotcourse.bench.replay.tally import ReplayOutcome
+from bergamotcourse.coordination.jobs.job_run import JobOutcome
 from bergamotcourse.coordination.jobs.policy import JobPolicy
 from bergamotcourse.standins.order_upstream import Behaviour
 from bergamotcourse.state.job_spec import (
@@ -71,7 +72,7 @@
                 ]
                 await trio.sleep(self.rng.expovariate(sum(rates)))
                 [kind] = self.rng.choices(self.load.kinds, rates)
-                nursery.start_soon(self._submit_job, kind, now - counted_from)
+                nursery.start_soon(self._call, kind, counted_from)
 
     def _rate(self, kind: Kind, at: float) -> float:
         """Return the arrival rate of a kind, in jobs per second, at a given time."""
@@ -83,13 +84,27 @@
                         rate *= factor
         return rate
 
-    async def _submit_job(self, kind: Kind, at: float) -> None:
+    async def _call(self, kind: Kind, counted_from: float) -> None:
+        """Submit a job, and others after refusals as often as the caller returns."""
+        ends_at = counted_from + self.load.seconds
+        while (now := trio.current_time()) < ends_at:
+            retry_after = await self._submit_job(kind, now - counted_from)
+            if not retry_after or not self._returns():
+                return
+            await trio.sleep(math.ceil(retry_after))
+
+    def _returns(self) -> bool:
+        """Return whether a refused caller returns; draws only if some do."""
+        return self.load.returns > 0 and self.rng.random() < self.load.returns
+
+    async def _submit_job(self, kind: Kind, at: float) -> float:
+        """Submit a job and count it; return its ``Retry-After``, or 0."""
         spec = self._make_job(kind)
         crashes = self.rng.random() < kind.crashing
         if crashes:
             self.fleet.crashing.add(TaskName(f"{spec.id}.0.0.0"))
         started_at = trio.current_time()
-        outcome = None
+        outcome, retry_after = None, 0.0
         while (
             outcome is None
             and trio.current_time() < started_at + CALLER_TIMEOUT_SECONDS
@@ -97,7 +112,8 @@
             entry = self.rng.choice(list(self.fleet.entries))
             left = started_at + CALLER_TIMEOUT_SECONDS - trio.current_time()
             queue = self.queues[kind.name]
-            outcome = (await self.fleet.submit(entry, spec, queue, left)).outcome
+            answer = await self.fleet.submit(entry, spec, queue, left)
+            outcome, retry_after = answer.outcome, answer.retry_after
             if outcome is None:
                 await trio.sleep(RESUBMIT_DELAY_SECONDS)
         if at >= 0 and not crashes:
@@ -106,6 +122,7 @@
                 self._longest_task_seconds(spec)
             )
             self.outcome.add(kind.name, at, outcome, took, objective, kind.worth)
+        return retry_after if outcome is JobOutcome.REFUSED else 0.0
 
     def _make_job(self, kind: Kind) -> JobSpec:
         width = max(1, round(kind.tasks * self.rng.lognormvariate(-0.08, 0.4)))
@@ -132,6 +149,7 @@
         path_prefix=f"/{kind.name}/",
         slack_factor=kind.slack_factor,
         target_latency=kind.target,
+        priority=kind.priority,
     )
 
 
--- a/bergamotcourse/bench/replay/tally.py
+++ b/bergamotcourse/bench/replay/tally.py
@@ -1,6 +1,6 @@
 """Counts the outcomes of the jobs of a replay."""
 
-from collections import defaultdict
+from collections import Counter, defaultdict
 from dataclasses import dataclass, field
 
 from bergamotcourse.coordination.jobs.job_run import LATE_FACTOR, JobOutcome
@@ -56,14 +56,20 @@
 
 @dataclass
 class ReplayOutcome:
-    """Outcome counts of a replay: by kind, by arrival window, and in total."""
+    """Outcome counts of a replay: by kind, by arrival window, and in total.
+
+    Attributes:
+        arrivals: Number of jobs that arrived in each second.
+    """
 
     kinds: dict[str, Tally] = field(default_factory=lambda: defaultdict(Tally))
     windows: dict[int, Tally] = field(default_factory=lambda: defaultdict(Tally))
     total: Tally = field(default_factory=Tally)
+    arrivals: Counter[int] = field(default_factory=Counter)
 
     def add(self, kind: str, arrived: float, *job) -> None:
         """Count one job that arrived ``arrived`` seconds into the counted time."""
+        self.arrivals[int(arrived)] += 1
         window = int(arrived / WINDOW_SECONDS)
         for tally in (self.kinds[kind], self.windows[window], self.total):
             tally.add(*job)
@@ -73,3 +79,7 @@
         shares = sorted(tally.share_earned() for tally in self.windows.values())
         worst = shares[:WORST_WINDOW_COUNT]
         return sum(worst) / len(worst) if worst else 1.0
+
+    def peak_arrivals(self) -> int:
+        """Return the largest number of jobs that arrived in one second."""
+        return max(self.arrivals.values(), default=0)
--- a/bergamotcourse/coordination/jobs/job_dispatcher.py
+++ b/bergamotcourse/coordination/jobs/job_dispatcher.py
@@ -1,11 +1,13 @@
 """The entry's job dispatcher: admits jobs, places their tasks, returns outcomes."""
 
+import random
 from collections import Counter
 from dataclasses import replace
 
 import trio
 
 from bergamotcourse.coordination.event_log import EventLog
+from bergamotcourse.coordination.jobs.admission_forecast import AdmissionForecast
 from bergamotcourse.coordination.jobs.agent_link import AgentLink
 from bergamotcourse.coordination.jobs.agent_links import AgentLinks, PlacementCandidates
 from bergamotcourse.coordination.jobs.job_order import (
@@ -26,9 +28,10 @@
 )
 from bergamotcourse.coordination.jobs.policy import JobPolicy
 from bergamotcourse.coordination.jobs.rack_demand import RackDemand
+from bergamotcourse.coordination.jobs.retry_advice import RetryAdvice
 from bergamotcourse.coordination.jobs.work_estimates import WorkEstimates
 from bergamotcourse.coordination.timers import Timers
-from bergamotcourse.ids import NO_LIFE
+from bergamotcourse.ids import NO_LIFE, ServiceName
 from bergamotcourse.protocol.task_messages import (
     NEVER_STARTED_OUTCOMES,
     PlaceTask,
@@ -68,6 +71,7 @@
         ends_at: Time at which this entry exits, once a planned stop has begun.
         remote_factor: Run time of a task outside the rack with its data, as a multiple
             of its run time inside.
+        forecast: Forecast of when waiting jobs are placed.
     """
 
     def __init__(
@@ -78,6 +82,7 @@
         log: EventLog,
         policy: JobPolicy | None = None,
         remote_factor: float = REMOTE_FACTOR,
+        rng: random.Random | None = None,
     ):
         self.policy = policy or JobPolicy()
         self.remote_factor = remote_factor
@@ -94,12 +99,15 @@
         self.had_waiting_jobs = False
         self.started_at = timers.now()
         self.ends_at = NEVER
+        self.forecast = AdmissionForecast(
+            self.started_at, RetryAdvice(rng or random.Random())
+        )
         links.on_run_ended = self.handle_run_outcome
         links.on_late_end = self.handle_late_end
         links.on_outcomes_reported = self.place_waiting_jobs
         links.on_room_reported = self.handle_agent_load
         links.is_waiting = self.is_waiting
-        links.on_tick = self.release_delayed_tasks
+        links.on_tick = self.handle_tick
 
     def is_waiting(self) -> bool:
         """Return whether jobs have tasks that wait for room."""
@@ -168,6 +176,7 @@
         if not self.waiting:
             return
         now = self.timers.now()
+        self.forecast.advance(self.had_waiting_jobs, now)
         choices = self.links.placement_candidates()
         if self.policy.puts_urgent_first:
             self.waiting.sort(key=lambda job: dispatch_order_key(job, now))
@@ -183,10 +192,20 @@
         # found room on another one just now.
         for job in list(self.waiting):
             self._refuse_if_placement_overdue(job)
+        if self.policy.forecasts_admission:
+            self._refuse_by_forecast(choices, now)
         if self.waiting and not self.had_waiting_jobs:
             self.links.notify_all_agents()
         self.had_waiting_jobs = bool(self.waiting)
 
+    def handle_tick(self) -> None:
+        """Update the forecast, and place the tasks whose delay has ended."""
+        now = self.timers.now()
+        self.forecast.advance(self.had_waiting_jobs, now)
+        if self.forecast.update_overload(bool(self.waiting), now):
+            self._log_overload()
+        self.release_delayed_tasks()
+
     def release_delayed_tasks(self) -> None:
         """Place the tasks whose delay has ended."""
         now = self.timers.now()
@@ -233,6 +252,7 @@
         if job.outcome is not None or task.state is TaskState.DONE:
             return
         if ended.outcome is RunOutcome.DONE:
+            self.forecast.rate(job.queue.service).record_run_time(ended.run_seconds)
             if self.policy.learns_estimates:
                 declared = task.spec.estimate * self._remote_factor_of(task)
                 self.estimates.record_run_time(
@@ -344,8 +364,54 @@
     def _refuse_if_placement_overdue(self, job: JobRun) -> None:
         """Refuse a job past its placement deadline if no task can have started."""
         if not job.may_have_run and self.timers.now() >= job.placement_deadline:
-            job.retry_after = max(job.retry_after, NO_ROOM_RETRY_SECONDS)
-            job.finish(JobOutcome.REFUSED, "no room in time")
+            self._refuse_for_lack_of_room(job, "no room in time")
+
+    def _refuse_by_forecast(self, choices: PlacementCandidates, now: float) -> None:
+        """Refuse the waiting jobs that cannot be placed in time, and admit the others.
+
+        Args:
+            choices: The agents at which tasks may be placed, after this round.
+            now: The time.
+        """
+        waiting = [job for job in self.waiting if job.outcome is None]
+        refused = self.forecast.review(
+            waiting, self._running_cpu(), now, lambda job: has_room_for(job, choices)
+        )
+        for job, forecast in refused:
+            self._refuse_for_lack_of_room(job, "no room in time, by the forecast")
+            self.log.write(
+                "admission.refused",
+                request=job.spec.id,
+                queue=job.queue.name,
+                forecast_ms=round(forecast.wait * 1000),
+                limit_ms=round(forecast.limit * 1000),
+                ahead_cpu=forecast.ahead_cpu,
+                rate_cpu=round(forecast.rate_cpu),
+                retry_after=job.retry_after,
+            )
+        if self.forecast.update_overload(bool(self.waiting), now):
+            self._log_overload()
+
+    def _refuse_for_lack_of_room(self, job: JobRun, why: str) -> None:
+        if job.outcome is None and self.policy.forecasts_admission:
+            cpu = self._running_cpu().get(job.queue.service, 0)
+            retry_after = self.forecast.retry_after(job, cpu, self.timers.now())
+            job.retry_after = max(job.retry_after, retry_after)
+        job.retry_after = max(job.retry_after, NO_ROOM_RETRY_SECONDS)
+        job.finish(JobOutcome.REFUSED, why)
+
+    def _running_cpu(self) -> Counter[ServiceName]:
+        """Return the CPU of this entry's tasks at all agents, by service."""
+        running: Counter[ServiceName] = Counter()
+        for link in self.links.links.values():
+            if link.room is not None:
+                running[link.room.service] += link.placed_needs.cpu
+        return running
+
+    def _log_overload(self) -> None:
+        is_overloaded = self.forecast.is_overloaded
+        kind = "admission.overloaded" if is_overloaded else "admission.recovered"
+        self.log.write(kind, waiting=len(self.waiting))
 
     def _remove_job(self, job: JobRun) -> None:
         """Remove a job that has no callers left, and withdraw its placed tasks."""
@@ -474,6 +540,9 @@
             queue_timeout_ms=AGENT_QUEUE_TIMEOUT_MS,
         )
         self.links.place(link, order, task.spec.needs, task)
+        if self.had_waiting_jobs:
+            rate = self.forecast.rate(job.queue.service)
+            rate.record_placement(task.spec.needs.cpu)
         self.log.write(
             "task.placed",
             request=job.spec.id,
@@ -521,3 +590,18 @@
         """Withdraw a later run of a task whose earlier run has completed after all."""
         if task.key in task.link.placed:
             self.links.withdraw(task.link, task.key)
+
+
+def has_room_for(job: JobRun, choices: PlacementCandidates) -> bool:
+    """Return whether an agent has room for the largest waiting task of a job."""
+    largest = max(
+        (step for step in job.spec.steps if not step.after),
+        key=lambda step: step.needs.cpu,
+    )
+    request = PlacementRequest(job.queue.service, largest, frozenset(), "")
+    return any(
+        can_accept_task(link, request)
+        for groups in choices.by_preference()
+        for links in groups
+        for link in links
+    )
--- a/bergamotcourse/daemons/job_entry.py
+++ b/bergamotcourse/daemons/job_entry.py
@@ -58,6 +58,7 @@
             node.log,
             node.policy,
             node.settings.remote_factor,
+            node.rng,
         )
         self.peers = Peers(
             node.address,
--- a/bergamotcourse/virtual/job_fleet.py
+++ b/bergamotcourse/virtual/job_fleet.py
@@ -238,7 +238,13 @@
         )
         self.links.entries = lambda: [one.address for one in fleet.entries.values()]
         self.jobs = JobDispatcher(
-            "zone-1", self.links, self.timers, self.log, fleet.policy, REMOTE_FACTOR
+            "zone-1",
+            self.links,
+            self.timers,
+            self.log,
+            fleet.policy,
+            REMOTE_FACTOR,
+            random.Random(self.links.boot),
         )
         self.mailer.handler = self._handle
         self.zones.on_change = self.jobs.handle_evacuations
@@ -257,10 +263,15 @@
 
 @dataclass
 class CallerAnswer:
-    """The outcome that a caller received, and when; ``None`` if it received none."""
+    """The outcome that a caller received, and when; ``None`` if it received none.
+
+    Attributes:
+        retry_after: Seconds after which the caller of a refused job may retry.
+    """
 
     outcome: JobOutcome | None
     at: float
+    retry_after: float = 0.0
 
 
 class JobFleet:
@@ -465,14 +476,15 @@
             try:
                 await process.pause.wait_until_thawed()
                 run = await process.jobs.submit(spec, queue, seconds)
-                answers.append(run.outcome)
+                answers.append((run.outcome, run.retry_after))
             finally:
                 done.set()
 
         process.nursery.start_soon(handle)
         with trio.move_on_after(seconds + 1.0):
             await done.wait()
-        return CallerAnswer(answers[0] if answers else None, trio.current_time())
+        outcome, retry_after = answers[0] if answers else (None, 0.0)
+        return CallerAnswer(outcome, trio.current_time(), retry_after)
 
     def make_rng(self) -> random.Random:
         """Return a random number generator seeded from the fleet's."""
