--- a/bergamotcourse/bench/replay/tally.py
+++ b/bergamotcourse/bench/replay/tally.py
@@ -1,6 +1,6 @@
 """Counts the outcomes of the jobs of a replay."""
 
-from collections import defaultdict
+from collections import Counter, defaultdict
 from dataclasses import dataclass, field
 
 from bergamotcourse.coordination.jobs.job_run import LATE_FACTOR, JobOutcome
@@ -81,6 +81,7 @@
         calls: The first call for each counted job.
         works: For each task, the work that its runs drew, in seconds.
         bound: Upper bound on the share of the worth; ``None`` if it was not computed.
+        arrivals: Number of jobs that arrived in each second.
     """
 
     kinds: dict[str, Tally] = field(default_factory=lambda: defaultdict(Tally))
@@ -92,9 +93,11 @@
         default_factory=lambda: defaultdict(list)
     )
     bound: float | None = None
+    arrivals: Counter[int] = field(default_factory=Counter)
 
     def add(self, kind: str, arrived: float, *job) -> None:
         """Count one job that arrived ``arrived`` seconds into the counted time."""
+        self.arrivals[int(arrived)] += 1
         window = int(arrived / WINDOW_SECONDS)
         for tally in (self.kinds[kind], self.windows[window], self.total):
             tally.add(*job)
@@ -104,3 +107,7 @@
         shares = sorted(tally.share_earned() for tally in self.windows.values())
         worst = shares[:WORST_WINDOW_COUNT]
         return sum(worst) / len(worst) if worst else 1.0
+
+    def peak_arrivals(self) -> int:
+        """Return the largest number of jobs that arrived in one second."""
+        return max(self.arrivals.values(), default=0)
