--- a/bergamotcourse/coordination/jobs/admission_forecast.py
+++ b/bergamotcourse/coordination/jobs/admission_forecast.py
@@ -30,6 +30,10 @@
 """Weight of one placed job in the correction. An entry places 20 waiting jobs a second
 in a burst, so that it follows within a second."""
 
+CERTAINTY_FACTOR = 1.5
+"""Factor by which a forecast wait must exceed the limit. A job whose forecast is close
+to the limit may still be placed in time, and otherwise is refused soon anyway."""
+
 MIN_FORECAST_SECONDS = 0.01
 """Shortest forecast wait that is compared with the measured one. Rounds are some
 milliseconds apart, so that shorter waits are mostly the time to the next round."""
@@ -224,7 +228,8 @@
 
 def should_refuse(job: JobRun, forecast: Forecast) -> bool:
     """Return whether a job of which no task can have started is placed too late."""
-    return not job.may_have_run and forecast.wait > max(0.0, forecast.limit)
+    limit = max(0.0, forecast.limit) * CERTAINTY_FACTOR
+    return not job.may_have_run and forecast.wait > limit
 
 
 def waiting_cpu(job: JobRun) -> int:
