--- a/bergamotcourse/coordination/jobs/job_dispatcher.py
+++ b/bergamotcourse/coordination/jobs/job_dispatcher.py
@@ -380,8 +380,10 @@
             now: The time.
         """
         waiting = [job for job in self.waiting if job.outcome is None]
+        # Summed over all agents, so not for each arriving job that is placed at once.
+        running_cpu = self._running_cpu() if waiting else {}
         refused = self.forecast.review(
-            waiting, self._running_cpu(), now, lambda job: has_room_for(job, choices)
+            waiting, running_cpu, now, lambda job: has_room_for(job, choices)
         )
         for job, forecast in refused:
             self._refuse_for_lack_of_room(job, "no room in time, by the forecast")
