--- a/bergamotcourse/coordination/jobs/job_dispatcher.py
+++ b/bergamotcourse/coordination/jobs/job_dispatcher.py
@@ -449,12 +449,8 @@
 
     def _place_pending_tasks(self, job: JobRun, speeds: SpeedRound, now: float) -> bool:
         """Place the pending tasks of a job; return false once one finds no room."""
-        link, step = None, -1
+        link = None
         for task in job.pending_tasks():
-            if task.step != step and speeds.in_effect(job.queue.service):
-                # Another step may be in time at other agents.
-                link = None
-            step = task.step
             link = self._choose_agent(job, task, speeds, now, link)
             if link is None:
                 return False
@@ -488,6 +484,9 @@
             excluded=excluded,
             zone=self.zone,
             reserved=self.rack_demand.racks_in_demand(now),
+            slowness=speeds.slowness_for(
+                job.queue.service, task.spec.data_rack, self.remote_factor
+            ),
         )
         local_rack = task.spec.data_rack if self.policy.places_near_data else ""
         local_request = replace(request, rack=local_rack) if local_rack else request
@@ -498,31 +497,23 @@
         ):
             # One message then carries both tasks, and the payload only once.
             return previous
-        link = self._choose_retrying_avoided(task, local_request, speeds)
+        link = self._choose_retrying_avoided(local_request, speeds.candidates)
         if not local_rack:
             return link
         if link is None and job.may_run_remotely(now, self.remote_factor):
-            link = self._choose_retrying_avoided(task, request, speeds)
+            link = self._choose_retrying_avoided(request, speeds.candidates)
         return link
 
     def _choose_retrying_avoided(
-        self, task: TaskRun, request: PlacementRequest, speeds: SpeedRound
+        self, request: PlacementRequest, choices: PlacementCandidates
     ) -> AgentLink | None:
-        link = self._choose_by_speed(task, request, speeds)
+        link = self._choose_by_group(request, choices)
         if link is None and request.avoid != request.excluded:
             # All other agents lack room or have failed the task as well.
             request = replace(request, avoid=request.excluded)
-            link = self._choose_by_speed(task, request, speeds)
+            link = self._choose_by_group(request, choices)
         return link
 
-    def _choose_by_speed(
-        self, task: TaskRun, request: PlacementRequest, speeds: SpeedRound
-    ) -> AgentLink | None:
-        if not speeds.in_effect(request.service):
-            return self._choose_by_group(request, speeds.candidates)
-        limit = speeds.limit(task.job, task, request, self.remote_factor)
-        return self._choose_by_group(replace(request, speed=limit), speeds.candidates)
-
     def _choose_by_group(
         self, request: PlacementRequest, choices: PlacementCandidates
     ) -> AgentLink | None:
--- a/bergamotcourse/coordination/jobs/placement.py
+++ b/bergamotcourse/coordination/jobs/placement.py
@@ -9,11 +9,10 @@
 """
 
 import itertools
-import math
+from collections.abc import Callable
 from dataclasses import dataclass
 
 from bergamotcourse.coordination.jobs.agent_link import AgentLink
-from bergamotcourse.ids import LinkAddress
 from bergamotcourse.state.job_spec import StepSpec
 
 OTHER_ZONE_PENALTY = 0.02
@@ -30,24 +29,6 @@
 agents, they would all place tasks on the same one."""
 
 
-@dataclass(frozen=True)
-class SpeedLimit:
-    """How slow an agent may be to get a task.
-
-    Attributes:
-        slowness: Slowness of the agents for the task, by address. Other agents don't
-            meet the task's requirements.
-        highest: Highest slowness of an agent that may get the task.
-    """
-
-    slowness: dict[LinkAddress, float]
-    highest: float
-
-    def allows(self, link: AgentLink) -> bool:
-        """Return whether an agent may get the task."""
-        return self.slowness.get(link.address, math.inf) <= self.highest
-
-
 @dataclass(frozen=True)
 class PlacementRequest:
     """What a task needs of an agent.
@@ -59,7 +40,8 @@
         zone: Zone of the entry.
         rack: Rack in which the task must run; empty for any.
         reserved: Racks left to tasks whose data is there while other racks have room.
-        speed: How slow an agent may be; ``None`` if all agents count as equally fast.
+        slowness: Returns the slowness of an agent for the task; ``None`` if all agents
+            count as equally fast.
     """
 
     service: str
@@ -69,7 +51,7 @@
     rack: str = ""
     reserved: frozenset[str] = frozenset()
     excluded: frozenset[str] = frozenset()
-    speed: SpeedLimit | None = None
+    slowness: Callable[[AgentLink], float] | None = None
 
 
 def choose_in_contact(
@@ -97,7 +79,7 @@
         request: What the task needs.
     """
     suitable = (link for link in links if can_accept_task(link, request))
-    if request.speed is not None:
+    if request.slowness is not None:
         suitable = sorted(suitable, key=lambda link: placement_rank(link, request)[:2])
     drawn = itertools.islice(suitable, CANDIDATE_COUNT)
     return min(drawn, key=lambda link: placement_rank(link, request), default=None)
@@ -105,26 +87,19 @@
 
 def can_accept_task(link: AgentLink, request: PlacementRequest) -> bool:
     """Return whether an agent meets the requirements of a task and has room for it."""
-    if not meets_requirements(link, request):
-        return False
-    if request.speed is not None and not request.speed.allows(link):
-        return False
-    needs = request.step.needs
-    if needs.cpu > link.room.capacity.cpu - link.load_cpu():
-        return False
-    return needs.fits(link.free())
-
-
-def meets_requirements(link: AgentLink, request: PlacementRequest) -> bool:
-    """Return whether an agent may run a task, apart from its room and speed."""
     if link.name in request.avoid:
         return False
     room = link.room
+    needs = request.step.needs
     if room.service != request.service:
         return False
     if request.step.label and request.step.label not in room.labels:
         return False
-    return not request.rack or request.rack in room.labels
+    if request.rack and request.rack not in room.labels:
+        return False
+    if needs.cpu > room.capacity.cpu - link.load_cpu():
+        return False
+    return needs.fits(link.free())
 
 
 def placement_rank(
@@ -132,9 +107,9 @@
 ) -> tuple[bool, float, float]:
     """Return the sort key of an agent with room for a task; the lowest is chosen."""
     score = placement_score(link, request)
-    if request.speed is None:
+    if request.slowness is None:
         return (False, 0.0, score)
-    return (is_reserved(link, request), request.speed.slowness[link.address], score)
+    return (is_reserved(link, request), request.slowness(link), score)
 
 
 def is_reserved(link: AgentLink, request: PlacementRequest) -> bool:
--- a/bergamotcourse/coordination/jobs/speed_placement.py
+++ b/bergamotcourse/coordination/jobs/speed_placement.py
@@ -2,26 +2,20 @@
 
 Agents report how long tasks take relative to their estimates. Entries compare agents by
 their slowness relative to the median of all agents of the service, so that an error
-common to all estimates cancels out. A task is placed at an agent at which it ends in
-time, and waits rather than run where it would end late, as long as it can be in time
-somewhere.
+common to all estimates cancels out. Fast agents get tasks first, slow ones once the
+fast ones are full. No task waits for a fast agent: its estimate may be wrong, and a
+late result is worth more to a caller than a refusal.
 """
 
 import math
 import statistics
 from collections import defaultdict
-from collections.abc import Iterable
+from collections.abc import Callable, Iterable
 from dataclasses import dataclass, field
 
 from bergamotcourse.coordination.event_log import EventLog
 from bergamotcourse.coordination.jobs.agent_link import AgentLink
 from bergamotcourse.coordination.jobs.agent_links import PlacementCandidates
-from bergamotcourse.coordination.jobs.job_run import JobRun, TaskRun
-from bergamotcourse.coordination.jobs.placement import (
-    PlacementRequest,
-    SpeedLimit,
-    meets_requirements,
-)
 from bergamotcourse.ids import LinkAddress
 
 MIN_SPREAD = 1.5
@@ -150,38 +144,30 @@
         self.now = now
         self.slowness: dict[LinkAddress, float] = {}
 
-    def in_effect(self, service: str) -> bool:
-        """Return whether the tasks of a service are placed by speed."""
-        return self.table.of_service(service).in_effect
-
-    def limit(
-        self, job: JobRun, task: TaskRun, request: PlacementRequest, remote: float
-    ) -> SpeedLimit:
-        """Return at which agents a task may be placed, by their speed.
+    def slowness_for(
+        self, service: str, data_rack: str, remote_factor: float
+    ) -> Callable[[AgentLink], float] | None:
+        """Return a function that returns the slowness of an agent for a task.
 
         Args:
-            job: The job.
-            task: Its task.
-            request: What else the task needs.
-            remote: Run time of the task outside the rack with its data, as a multiple
-                of its run time inside; 1 if it has none.
+            service: Service of the task.
+            data_rack: Rack with its data; empty if there is none.
+            remote_factor: Run time of the task outside that rack, as a multiple of its
+                run time inside.
+
+        Returns:
+            The function; ``None`` if the service's tasks are not placed by speed.
         """
-        usable = [
-            link
-            for link in self.candidates.all()
-            if meets_requirements(link, request)
-            and request.step.needs.fits(link.room.capacity)
-        ]
-        rack = task.spec.data_rack
-        slowness = {
-            link.address: self.slowness_class(link)
-            * (remote if rack and rack not in link.room.labels else 1.0)
-            for link in usable
-        }
-        highest = highest_slowness_in_time(job, task, self.now)
-        if min(slowness.values(), default=math.inf) > highest:
-            highest = math.inf
-        return SpeedLimit(slowness, highest)
+        if not self.table.of_service(service).in_effect:
+            return None
+        if not data_rack:
+            return self.slowness_class
+
+        def slowness(link: AgentLink) -> float:
+            is_remote = data_rack not in link.room.labels
+            return self.slowness_class(link) * (remote_factor if is_remote else 1.0)
+
+        return slowness
 
     def slowness_class(self, link: AgentLink) -> float:
         """Return the slowness that an agent counts with in this round."""
@@ -222,23 +208,3 @@
     """
     steps = math.log(relative) / math.log(EQUAL_SPEED_FACTOR)
     return 1.0 if abs(steps) < 1 else EQUAL_SPEED_FACTOR ** round(steps)
-
-
-def highest_slowness_in_time(job: JobRun, task: TaskRun, now: float) -> float:
-    """Return the highest slowness with which a task that starts now ends in time."""
-    estimate = task.spec.estimate * job.factor
-    if estimate <= 0:
-        return math.inf
-    rest = seconds_after_step(job, task.step) * job.factor
-    return (job.arrived + job.objective - rest - now) / estimate
-
-
-def seconds_after_step(job: JobRun, step: int) -> float:
-    """Return the declared seconds of the longest chain of steps that follow a step."""
-    steps = job.spec.steps
-    after = [0.0] * len(steps)
-    # A step depends on earlier steps only.
-    for index in reversed(range(len(steps))):
-        for earlier in steps[index].after:
-            after[earlier] = max(after[earlier], after[index] + steps[index].estimate)
-    return after[step]
