Keep the candidates of a placement out of the speeds, and look through them once

The speeds of a placement round carried the candidates since tasks waited for fast upstreams, which they no longer do. The forecast looks for room with the loop that the candidates already offer, and both places that update the overload share its log line.

--- a/bergamotcourse/coordination/jobs/job_dispatcher.py
+++ b/bergamotcourse/coordination/jobs/job_dispatcher.py
@@ -182,7 +182,7 @@
         self.speeds.update(self.links.links.values(), now)
         self.forecast.advance(self.had_waiting_jobs, now)
         choices = self.links.placement_candidates()
-        speeds = SpeedRound(self.speeds, choices, now)
+        speeds = SpeedRound(self.speeds, now)
         if self.policy.puts_urgent_first:
             self.waiting.sort(key=lambda job: dispatch_order_key(job, now))
         blocked = 0
@@ -190,7 +190,7 @@
             if not self.links.may_send():
                 # Acknowledgements that make room also start the next round.
                 break
-            blocked += not self._place_pending_tasks(job, speeds, now)
+            blocked += not self._place_pending_tasks(job, choices, speeds, now)
             if blocked > MAX_BLOCKED_JOBS:
                 break
         # Not before the placement: a job whose run was returned by an agent may have
@@ -207,8 +207,7 @@
         """Update the forecast, and place the tasks whose delay has ended."""
         now = self.timers.now()
         self.forecast.advance(self.had_waiting_jobs, now)
-        if self.forecast.update_overload(bool(self.waiting), now):
-            self._log_overload()
+        self._update_overload(now)
         self.release_delayed_tasks()
 
     def release_delayed_tasks(self) -> None:
@@ -397,8 +396,7 @@
                 rate_cpu=round(forecast.rate_cpu),
                 retry_after=job.retry_after,
             )
-        if self.forecast.update_overload(bool(self.waiting), now):
-            self._log_overload()
+        self._update_overload(now)
 
     def _refuse_for_lack_of_room(self, job: JobRun, why: str) -> None:
         if job.outcome is None and self.policy.forecasts_admission:
@@ -416,7 +414,10 @@
                 running[link.room.service] += link.placed_needs.cpu
         return running
 
-    def _log_overload(self) -> None:
+    def _update_overload(self, now: float) -> None:
+        """Log the start or the end of an overload."""
+        if not self.forecast.update_overload(bool(self.waiting), now):
+            return
         is_overloaded = self.forecast.is_overloaded
         kind = "admission.overloaded" if is_overloaded else "admission.recovered"
         self.log.write(kind, waiting=len(self.waiting))
@@ -447,11 +448,13 @@
 
     # Placement and outcomes of tasks.
 
-    def _place_pending_tasks(self, job: JobRun, speeds: SpeedRound, now: float) -> bool:
+    def _place_pending_tasks(
+        self, job: JobRun, choices: PlacementCandidates, speeds: SpeedRound, now: float
+    ) -> bool:
         """Place the pending tasks of a job; return false once one finds no room."""
         link = None
         for task in job.pending_tasks():
-            link = self._choose_agent(job, task, speeds, now, link)
+            link = self._choose_agent(job, task, choices, speeds, now, link)
             if link is None:
                 return False
             self._place_task(job, task, link, now)
@@ -462,6 +465,7 @@
         self,
         job: JobRun,
         task: TaskRun,
+        choices: PlacementCandidates,
         speeds: SpeedRound,
         now: float,
         previous: AgentLink | None,
@@ -471,7 +475,8 @@
         Args:
             job: The job.
             task: Its task.
-            speeds: The agents on which it may be placed, and their speeds.
+            choices: The agents on which it may be placed.
+            speeds: Their speeds.
             now: The time.
             previous: The agent on which the previous task of the job was placed in this
                 round.
@@ -497,11 +502,11 @@
         ):
             # One message then carries both tasks, and the payload only once.
             return previous
-        link = self._choose_retrying_avoided(local_request, speeds.candidates)
+        link = self._choose_retrying_avoided(local_request, choices)
         if not local_rack:
             return link
         if link is None and job.may_run_remotely(now, self.remote_factor):
-            link = self._choose_retrying_avoided(request, speeds.candidates)
+            link = self._choose_retrying_avoided(request, choices)
         return link
 
     def _choose_retrying_avoided(
@@ -608,9 +613,4 @@
         key=lambda step: step.needs.cpu,
     )
     request = PlacementRequest(job.queue.service, largest, frozenset(), "")
-    return any(
-        can_accept_task(link, request)
-        for groups in choices.by_preference()
-        for links in groups
-        for link in links
-    )
+    return any(can_accept_task(link, request) for link in choices.all())
--- a/bergamotcourse/coordination/jobs/speed_placement.py
+++ b/bergamotcourse/coordination/jobs/speed_placement.py
@@ -15,7 +15,6 @@
 
 from bergamotcourse.coordination.event_log import EventLog
 from bergamotcourse.coordination.jobs.agent_link import AgentLink
-from bergamotcourse.coordination.jobs.agent_links import PlacementCandidates
 from bergamotcourse.ids import LinkAddress
 
 MIN_SPREAD = 1.5
@@ -133,14 +132,12 @@
 
     Attributes:
         table: The speeds of all agents.
-        candidates: The agents at which runs may be placed in this round.
         now: The time of the round.
         slowness: Slowness class of each agent that was looked up in the round.
     """
 
-    def __init__(self, table: SpeedTable, candidates: PlacementCandidates, now: float):
+    def __init__(self, table: SpeedTable, now: float):
         self.table = table
-        self.candidates = candidates
         self.now = now
         self.slowness: dict[LinkAddress, float] = {}
 
--- a/bergamotcourse/tests/jobs/test_speed_placement.py
+++ b/bergamotcourse/tests/jobs/test_speed_placement.py
@@ -5,7 +5,6 @@
 from msgspec import structs
 
 from bergamotcourse.coordination.event_log import EventLog
-from bergamotcourse.coordination.jobs.agent_links import PlacementCandidates
 from bergamotcourse.coordination.jobs.job_run import JobRun
 from bergamotcourse.coordination.jobs.placement import (
     choose_in_contact,
@@ -129,7 +128,7 @@
     """The slow agent takes twice as long as the others, which have the median speed."""
 
     def choose(self, links, choose_from=choose_in_contact, rack="", **request):
-        speeds = SpeedRound(make_table(links), PlacementCandidates(), NOW)
+        speeds = SpeedRound(make_table(links), NOW)
         slowness = speeds.slowness_for("votes", rack, 2.5)
         link = choose_from(links, replace(make_request(**request), slowness=slowness))
         return link and link.name
