Stop the runs that nobody claims before a new agent process renews the lease

Callers saw a task run on two upstreams at once, for half a second with tasks of 1.8 s, after an entry and the agent of its runs were killed together and both were back within 0.65 s.

Cause: an upstream's lease covers all its runs. A new agent process renewed it with its first hold or start order, and thereby prolonged the runs of the earlier process. A surviving entry withdraws its own former runs; those of an entry that was lost with the agent had no owner, so they ran to their end while the callers sent their jobs again.

Each list of an upstream now names the runs that this process has neither started nor been asked to stop. They are ordered to stop until the order is confirmed, and nothing renews the lease, neither holds nor starts, before a list shows that they have ended. So they end by the stop or by the lease that the earlier process has ordered, whichever is first. Every list is checked, not only the first. Start orders of the earlier process can't add to them: the first list carries the new fencing token. The ends are kept for an entry that asks, as before.

Weighed against it: holding back all starts for the length of a lease would cost 0.71 s after a loss of all processes.

Two tests of guards no longer showed their guard to be necessary, as runs are stopped by this one too. They now lose the agents of the runs for good, and keep the upstream from answering the new process, and fail without their guard as before. A third shows the new guard to be necessary.

--- a/bergamotcourse/coordination/jobs/executor.py
+++ b/bergamotcourse/coordination/jobs/executor.py
@@ -47,6 +47,7 @@
     StartVerdict,
     UpstreamReport,
 )
+from bergamotcourse.state.job_spec import job_id_of_task
 from bergamotcourse.state.resources import NO_RESOURCES, Resources
 
 NO_ROOM_BACKOFF_SECONDS = 0.02
@@ -79,7 +80,8 @@
         may_start: Called right before a start order; returns whether the entry that
             placed the run is still in contact.
         process_started_at: Start of this process, by the lease clock. Runs of an
-            earlier process have ended ``UPSTREAM_LEASE_EXPIRY_SECONDS`` later.
+            earlier process have ended ``UPSTREAM_LEASE_EXPIRY_SECONDS`` later, unless
+            this process has renewed their lease.
         life: The current life of the upstream; ``None`` without an upstream.
         lives: The lives of upstreams that this agent has seen.
         reconciler: Applies the lists of runs and ends in the upstream's answers.
@@ -88,6 +90,7 @@
         paused_until: No run is started before this time.
         stopping: The agent is stopping and accepts no runs.
         evacuated: The operator has evacuated the zone; no runs are accepted.
+        unclaimed_stops: Runs that nobody claims and that are being ordered to stop.
         wake: Set when there may be a reason for a hold.
     """
 
@@ -115,6 +118,7 @@
         self.evacuated = False
         self.health = self._new_health()
         self.speed = UpstreamSpeed()
+        self.unclaimed_stops: set[RunKey] = set()
         self.nursery: trio.Nursery | None = None
         self.wake = trio.Event()
 
@@ -278,6 +282,8 @@
         """Start queued runs that fit, in the order of their rank."""
         if self.nursery is None or self.refusal() is not None:
             return
+        if not self.life.may_extend_lease:
+            return
         if self.timers.now() < self.paused_until or self._starts_paused():
             return
         capacity = self.life.report.capacity
@@ -422,11 +428,33 @@
                 await trio.sleep(ORDER_RETRY_SECONDS)
                 self._finish_runs_if_lease_lapsed()
                 continue
-            if await self.order_sender.stop(run, life):
+            if await self.order_sender.stop(run.key, life):
                 run.stop_confirmed_hold = self.hold_count
                 self.wake.set()
                 return
 
+    def _stop_unclaimed_runs(self, life: UpstreamLife) -> None:
+        """Stop the listed runs that nobody claims."""
+        for key in life.unclaimed_runs - self.unclaimed_stops:
+            self.unclaimed_stops.add(key)
+            self.log.write(
+                "run.unclaimed",
+                request=job_id_of_task(key.task),
+                task=key.task,
+                run=key.number,
+                upstream=life.report.id,
+            )
+            self.nursery.start_soon(self._order_unclaimed_stop, key, life)
+
+    async def _order_unclaimed_stop(self, key: RunKey, life: UpstreamLife) -> None:
+        """Repeat the stop order until it is confirmed or the run is not unclaimed."""
+        try:
+            while life is self.life and key in life.unclaimed_runs:
+                if await self.order_sender.stop(key, life):
+                    return
+        finally:
+            self.unclaimed_stops.discard(key)
+
     # Holds.
 
     async def _wait_for_work(self) -> None:
@@ -457,7 +485,12 @@
         self.hold_count += 1
         number = self.hold_count
         busy = bool(self.registry.runs)
-        renews = busy and not self._withholds_renewal(life) and self._may_renew()
+        renews = (
+            busy
+            and life.may_extend_lease
+            and not self._withholds_renewal(life)
+            and self._may_renew()
+        )
         answer = await self.order_sender.hold(
             life, renews, waits=busy or life.listed_runs > 0
         )
@@ -538,6 +571,7 @@
         self, life: UpstreamLife, holding: Holding, number: int
     ) -> None:
         self.reconciler.reconcile(life, self.health, self.speed, holding, number)
+        self._stop_unclaimed_runs(life)
         self._move_runs(life.answer_made_at)
         self._move_from_leaving(life)
         self.start_queued_runs()
--- a/bergamotcourse/coordination/jobs/holding_reconciler.py
+++ b/bergamotcourse/coordination/jobs/holding_reconciler.py
@@ -15,6 +15,7 @@
     EndedRun,
     EndKind,
     Holding,
+    RunKey,
 )
 from bergamotcourse.state.job_spec import job_id_of_task
 
@@ -69,6 +70,9 @@
         life.listed_at = life.answer_made_at
         listed = {running.key: running for running in holding.running}
         life.listed_runs = len(listed)
+        life.unclaimed_runs = frozenset(
+            key for key in listed if not self._is_claimed(key)
+        )
         for run in self.registry.all():
             running = listed.get(run.key)
             if running is not None:
@@ -80,6 +84,11 @@
                     run, RunOutcome.RETURNED, "stopped before it started"
                 )
 
+    def _is_claimed(self, key: RunKey) -> bool:
+        """Return whether this process has started a run, or was asked to stop it."""
+        run = self.registry.runs.get(key)
+        return run is not None and run.occupies_room
+
     def finish_former_run(self, run: PlacedRun) -> bool:
         """Finish a run of an earlier process; return false if its end is unknown."""
         kind = self.former_ends.pop(run.key)
--- a/bergamotcourse/coordination/jobs/order_sender.py
+++ b/bergamotcourse/coordination/jobs/order_sender.py
@@ -15,6 +15,7 @@
 from bergamotcourse.protocol.upstream_orders import (
     HoldFailure,
     Holding,
+    RunKey,
     StartOrder,
     StartReply,
     StartVerdict,
@@ -99,9 +100,9 @@
             self.answer_time.add_sample(self.timers.now() - asked_at)
         return reply
 
-    async def stop(self, run: PlacedRun, life: UpstreamLife) -> bool:
+    async def stop(self, key: RunKey, life: UpstreamLife) -> bool:
         """Order the upstream to stop or bar a run; return whether it has confirmed."""
-        if await life.port.stop(run.key, self.answer_time.timeout()):
+        if await life.port.stop(key, self.answer_time.timeout()):
             return True
         self.lossy_until = self.timers.now() + LOSSY_PERIOD_SECONDS
         await trio.sleep(ORDER_RETRY_SECONDS)
--- a/bergamotcourse/coordination/jobs/upstream_life.py
+++ b/bergamotcourse/coordination/jobs/upstream_life.py
@@ -9,7 +9,11 @@
     UPSTREAM_LEASE_SECONDS,
 )
 from bergamotcourse.coordination.jobs.upstream_clock import UpstreamClock
-from bergamotcourse.protocol.upstream_orders import OrderPort, UpstreamReport
+from bergamotcourse.protocol.upstream_orders import (
+    OrderPort,
+    RunKey,
+    UpstreamReport,
+)
 
 UPSTREAM_SILENCE_SECONDS = 0.42
 """Time from the first unanswered hold after which an upstream is considered silent. A
@@ -40,6 +44,8 @@
         fenced: It takes orders from a later process and refuses those of this one.
         listed_runs: Number of runs in its last list, including those of earlier
             processes.
+        unclaimed_runs: The runs in its last list that this process has not started and
+            no entry has asked about; ``None`` before the first list.
         listed_at: When its last list was made.
         clock: Dates its answers.
         answer_made_at: When the list in the latest answer was made.
@@ -59,6 +65,7 @@
     silent: bool = False
     fenced: bool = False
     listed_runs: int = 0
+    unclaimed_runs: frozenset[RunKey] | None = None
     listed_at: float = 0.0
     clock: UpstreamClock = field(init=False)
     answer_made_at: float = 0.0
@@ -86,6 +93,15 @@
         self.silent = False
         return was_silent
 
+    @property
+    def may_extend_lease(self) -> bool:
+        """Return whether every run that the lease may cover is claimed.
+
+        The lease covers all runs on the upstream. Nobody else ends a run of an earlier
+        process whose entry was lost with that process.
+        """
+        return self.unclaimed_runs is not None and not self.unclaimed_runs
+
     def update_clock(self, clock: float | None, now: float) -> None:
         """Update the clock offset from the clock in an answer or report, if any."""
         if clock is not None:
--- a/bergamotcourse/tests/jobs/test_guards.py
+++ b/bergamotcourse/tests/jobs/test_guards.py
@@ -42,6 +42,37 @@
     return fleet.overlaps()
 
 
+async def entry_and_its_agents_lost(fleet):
+    """An entry and the agents of its runs are killed, and these agents stay away."""
+    fleet.nursery.start_soon(fleet.submit, "entry-1", LONG_JOB, *QUEUE_AND_TIMEOUT)
+    await trio.sleep(0.5)
+    fleet.entries["entry-1"].kill()
+    for agent, upstream in fleet.upstreams.items():
+        if upstream.running:
+            fleet.agents[agent].kill()
+    await trio.sleep(CALLER_RESEND_SECONDS)
+    fleet.nursery.start_soon(fleet.submit, "entry-2", LONG_JOB, *QUEUE_AND_TIMEOUT)
+    await trio.sleep(2.0)
+    return fleet.overlaps()
+
+
+async def entry_and_agents_killed_under_load(fleet):
+    """An entry and all agents are killed, and another entry has work for the agents."""
+    fleet.nursery.start_soon(fleet.submit, "entry-1", LONG_JOB, *QUEUE_AND_TIMEOUT)
+    await trio.sleep(0.5)
+    fleet.entries["entry-1"].kill()
+    for agent in list(fleet.agents):
+        fleet.agents[agent].kill()
+        fleet.start_agent(agent)
+    for number in range(4):
+        spec = job(f"load-{number}", tasks=8, work=1.0)
+        fleet.nursery.start_soon(fleet.submit, "entry-2", spec, *QUEUE_AND_TIMEOUT)
+    await trio.sleep(CALLER_RESEND_SECONDS)
+    fleet.nursery.start_soon(fleet.submit, "entry-2", LONG_JOB, *QUEUE_AND_TIMEOUT)
+    await trio.sleep(2.0)
+    return fleet.overlaps()
+
+
 async def agent_cut(fleet):
     """An agent is cut off from the entry whose tasks it runs."""
     fleet.nursery.start_soon(fleet.submit, "entry-1", LONG_JOB, *QUEUE_AND_TIMEOUT)
@@ -74,6 +105,17 @@
     return fleet.overlaps()
 
 
+async def agent_restarted_beside_a_silent_upstream(fleet):
+    """An agent's process is replaced, and its upstream does not answer the new one."""
+    fleet.nursery.start_soon(fleet.submit, "entry-1", LONG_JOB, *QUEUE_AND_TIMEOUT)
+    await trio.sleep(0.5)
+    fleet.agents["agent-1"].kill()
+    fleet.cut_upstreams.add("agent-1")
+    fleet.start_agent("agent-1")
+    await trio.sleep(1.0)
+    return fleet.overlaps()
+
+
 async def start_reply_lost(fleet):
     """Start orders get no answer; they are carried out seconds later."""
     for upstream in fleet.upstreams.values():
@@ -89,9 +131,12 @@
         for scenario in (
             entry_killed,
             all_killed,
+            entry_and_agents_killed_under_load,
+            entry_and_its_agents_lost,
             agent_cut,
             agent_frozen,
             agent_restarted,
+            agent_restarted_beside_a_silent_upstream,
             start_reply_lost,
         ):
             assert run_fleet(scenario) == [], scenario.__name__
@@ -110,7 +155,7 @@
         monkeypatch.setattr(
             "bergamotcourse.standins.order_upstream.MOST_LEASE_SECONDS", 100.0
         )
-        assert run_fleet(all_killed)
+        assert run_fleet(entry_and_its_agents_lost)
 
     def test_the_wait_until_the_runs_of_a_silent_agent_are_over(self, monkeypatch):
         monkeypatch.setattr(agent_link, "ALL_RUNS_ENDED_SECONDS", 0.3)
@@ -145,7 +190,13 @@
             self.registry.report_end(entry, TaskEnded(key, RunOutcome.RETURNED))
 
         monkeypatch.setattr(Executor, "withdraw", withdraw)
-        assert run_fleet(agent_restarted)
+        assert run_fleet(agent_restarted_beside_a_silent_upstream)
+
+    def test_stopping_unclaimed_runs(self, monkeypatch):
+        """The lease that a new agent process renews covers them."""
+        monkeypatch.setattr(Executor, "_stop_unclaimed_runs", lambda self, life: None)
+        monkeypatch.setattr(upstream_life.UpstreamLife, "may_extend_lease", True)
+        assert run_fleet(entry_and_agents_killed_under_load)
 
     def test_barring_a_run_whose_start_order_had_no_answer(self, monkeypatch):
         def take_verdict(self, run, verdict):
