Start no task of a job whose callers have disconnected

Callers saw tasks run twice at the same time, 50 to 90 ms long, after an entry was frozen for seconds: it started jobs that their callers had sent to another entry meanwhile.

Cause: a request and the end of its connection wait together in the kernel when the entry wakes. The server read the request first and handed it over; the end came in a later pass of the event loop, whose order of tasks is random. About half of such requests were handled. The same holds for all that an entry does for a known job before it has read the end: jobs that wait for room, further steps, runs that agents stopped during the pause, and placements that an agent holds until the next echo.

The kernel reports the end of a connection as soon as it has received it, also behind unread bytes. The server asks it before it handles a request, and the dispatcher before it places tasks and before it echoes an agent that was silent. A caller that still waits is served as before. The end of a stream that is still in transit can't be known.

--- a/bergamotcourse/coordination/jobs/agent_link.py
+++ b/bergamotcourse/coordination/jobs/agent_link.py
@@ -43,6 +43,7 @@
         boot: Boot number of the agent's process.
         session: Latest session that the agent has begun with this entry.
         last_received_at: When the last message of the agent arrived.
+        heard_at: The same by the lease clock, which counts suspensions of this machine.
         next_message_seconds: Seconds after which the agent announced, in its last
             message, to send the next one.
         echo_ms: The agent's clock in its last message; echoed to the agent.
@@ -79,6 +80,7 @@
     boot: int = 0
     session: int = 0
     last_received_at: float = 0.0
+    heard_at: float = 0.0
     next_message_seconds: float = 0.0
     echo_ms: int = 0
     echo_received_at: float = 0.0
--- a/bergamotcourse/coordination/jobs/agent_links.py
+++ b/bergamotcourse/coordination/jobs/agent_links.py
@@ -106,6 +106,8 @@
         on_late_end: Called with the link and the outcome of a run that has completed or
             failed after it had been reported as lost.
         on_room_reported: Called when an agent has reported its load and no outcomes.
+        on_contact_resumed: Called when an agent at which runs are placed has answered
+            after a silence, before its message is echoed.
         on_tick: Called every ``TICK_SECONDS``.
         is_waiting: Returns whether the entry has tasks that find no free capacity.
         pauses: The latest pause of this process.
@@ -135,6 +137,7 @@
         self.on_late_end: Callable[[AgentLink, TaskEnded], None] = _ignore_late_end
         self.on_room_reported: Callable[[AgentLink], None] = lambda _link: None
         self.on_outcomes_reported: Callable[[], None] = lambda: None
+        self.on_contact_resumed: Callable[[AgentLink], None] = lambda _link: None
         self.on_tick: Callable[[], None] = lambda: None
         self.is_waiting: Callable[[], bool] = lambda: False
         self.send_coalescer = SendCoalescer(self._send_to)
@@ -277,12 +280,17 @@
             self.mailer.post(sender, EndSession(link.boot, link.session))
             return
         was_handshake = link.handshake_started_at is not None
+        lease_now = self.timers.lease_now()
+        was_silent = lease_now - link.heard_at > AGENT_SILENCE_SECONDS
+        link.heard_at = lease_now
         unacknowledged_bytes = link.outgoing.size_bytes
         new_outcomes = link.receive_turn(turn, self.timers.now())
         if turn.round_trip_ms:
             link.round_trip_seconds = turn.round_trip_ms / 1000
             acknowledged_bytes = unacknowledged_bytes - link.outgoing.size_bytes
             self._update_send_window(link.round_trip_seconds, acknowledged_bytes)
+        if was_silent and link.placed:
+            self.on_contact_resumed(link)
         if was_handshake:
             # The runs placed at the agent wait for the echo of this message.
             self._request_send(link)
--- a/bergamotcourse/coordination/jobs/job_dispatcher.py
+++ b/bergamotcourse/coordination/jobs/job_dispatcher.py
@@ -2,6 +2,7 @@
 
 import random
 from collections import Counter
+from collections.abc import Callable
 from dataclasses import replace
 
 import trio
@@ -60,6 +61,11 @@
 """``Retry-After`` of a job that is refused because no agent had room in time."""
 
 
+def never_abandoned() -> bool:
+    """Return false, for a caller that does not disconnect."""
+    return False
+
+
 class JobDispatcher:
     """Admits jobs, places their tasks on agents and determines each job's outcome.
 
@@ -111,6 +117,7 @@
         links.on_room_reported = self.handle_agent_load
         links.is_waiting = self.is_waiting
         links.on_tick = self.handle_tick
+        links.on_contact_resumed = self.handle_contact_resumed
 
     def is_waiting(self) -> bool:
         """Return whether jobs have tasks that wait for room."""
@@ -123,7 +130,13 @@
             for job in self.jobs.values()
         )
 
-    async def submit(self, spec: JobSpec, queue: JobQueue, seconds: float) -> JobRun:
+    async def submit(
+        self,
+        spec: JobSpec,
+        queue: JobQueue,
+        seconds: float,
+        is_abandoned: Callable[[], bool] = never_abandoned,
+    ) -> JobRun:
         """Run a job until it has an outcome.
 
         A job whose id is already known is not admitted again; the call waits for the
@@ -134,18 +147,20 @@
             spec: The job.
             queue: Its queue.
             seconds: Seconds for which the caller waits for the response.
+            is_abandoned: Returns whether the caller has disconnected.
 
         Returns:
             The job with its outcome.
         """
         job = self.jobs.get(spec.id)
         if job is None:
-            job = self._admit(spec, queue, seconds)
-        job.callers += 1
+            job = self._admit(spec, queue, seconds, is_abandoned)
+        else:
+            job.callers.append(is_abandoned)
         try:
             await self._await_outcome(job, seconds - RESPONSE_MARGIN_SECONDS)
         finally:
-            job.callers -= 1
+            job.callers.remove(is_abandoned)
             if not job.callers:
                 self._remove_job(job)
         return job
@@ -234,6 +249,15 @@
         if self.waiting and link.room.capacity.cpu > link.load_cpu():
             self.place_waiting_jobs()
 
+    def handle_contact_resumed(self, link: AgentLink) -> None:
+        """Withdraw the runs of disconnected callers at an agent that was silent.
+
+        Runs that were placed before the silence may be held there, and start with the
+        next echo.
+        """
+        for job in {task.job for task in link.placed.values()}:
+            self._cancel_if_abandoned(job)
+
     def handle_evacuations(self) -> None:
         """Notify agents of evacuations; refuse jobs that no remaining zone can run."""
         self.links.notify_all_agents()
@@ -318,9 +342,16 @@
 
     # Admission and outcomes of jobs.
 
-    def _admit(self, spec: JobSpec, queue: JobQueue, seconds: float) -> JobRun:
+    def _admit(
+        self,
+        spec: JobSpec,
+        queue: JobQueue,
+        seconds: float,
+        is_abandoned: Callable[[], bool] = never_abandoned,
+    ) -> JobRun:
         factor = self.estimates.factor(queue.name)
         job = JobRun(spec, queue, self.timers.now(), factor)
+        job.callers.append(is_abandoned)
         self.jobs[spec.id] = job
         self.waiting.append(job)
         for step in spec.steps:
@@ -422,6 +453,18 @@
         kind = "admission.overloaded" if is_overloaded else "admission.recovered"
         self.log.write(kind, waiting=len(self.waiting))
 
+    def _cancel_if_abandoned(self, job: JobRun) -> bool:
+        """Cancel a job if all its callers have disconnected; return whether it was.
+
+        The server notices a disconnect later, and much later after a pause of this
+        process.
+        """
+        if job.outcome is not None or not job.is_abandoned():
+            return False
+        job.finish(JobOutcome.CANCELLED, "its caller has disconnected")
+        self._withdraw_tasks(job)
+        return True
+
     def _remove_job(self, job: JobRun) -> None:
         """Remove a job that has no callers left, and withdraw its placed tasks."""
         if self.jobs.get(job.spec.id) is job:
@@ -451,12 +494,19 @@
     def _place_pending_tasks(
         self, job: JobRun, choices: PlacementCandidates, speeds: SpeedRound, now: float
     ) -> bool:
-        """Place the pending tasks of a job; return false once one finds no room."""
+        """Place the pending tasks of a job; return false once one finds no room.
+
+        A caller that has disconnected may have sent the job to another entry, which
+        runs it. So a job without callers is cancelled instead.
+        """
         link = None
         for task in job.pending_tasks():
+            is_first = link is None
             link = self._choose_agent(job, task, choices, speeds, now, link)
             if link is None:
                 return False
+            if is_first and self._cancel_if_abandoned(job):
+                return True
             self._place_task(job, task, link, now)
         self.waiting.remove(job)
         return True
--- a/bergamotcourse/coordination/jobs/job_run.py
+++ b/bergamotcourse/coordination/jobs/job_run.py
@@ -1,5 +1,6 @@
 """State of a job at the entry that admitted it: tasks, runs and deadlines."""
 
+from collections.abc import Callable
 from dataclasses import dataclass, field
 from enum import Enum
 
@@ -113,7 +114,8 @@
         possible_runs: Number of placed runs that may have started.
         finished: Set together with the outcome.
         retry_after: Seconds after which the caller of a refused job may retry.
-        callers: Number of calls that wait for the outcome.
+        callers: For each call that waits for the outcome, a function that returns
+            whether its caller has disconnected.
     """
 
     def __init__(
@@ -132,13 +134,17 @@
         self.outcome: JobOutcome | None = None
         self.why = ""
         self.retry_after = 0.0
-        self.callers = 0
+        self.callers: list[Callable[[], bool]] = []
 
     @property
     def may_have_run(self) -> bool:
         """Return whether a task may have started."""
         return self.possible_runs > 0
 
+    def is_abandoned(self) -> bool:
+        """Return whether all callers have disconnected."""
+        return all(has_disconnected() for has_disconnected in self.callers)
+
     @property
     def start_by(self) -> float:
         """Return the latest time at which the work can start and still be in time."""
--- a/bergamotcourse/coordination/jobs/job_service.py
+++ b/bergamotcourse/coordination/jobs/job_service.py
@@ -1,5 +1,6 @@
 """The entry's job operations, independent of the protocol that callers use."""
 
+from collections.abc import Callable
 from dataclasses import dataclass
 from enum import Enum
 
@@ -79,7 +80,13 @@
         self.log.write("job.refused", request=job_id, why=why, lag_ms=lag_ms)
         return JobAnswer(JobOutcome.REFUSED, why, OVERLOAD_RETRY_SECONDS)
 
-    async def submit(self, spec: JobSpec, queue: JobQueue, seconds: float) -> JobAnswer:
+    async def submit(
+        self,
+        spec: JobSpec,
+        queue: JobQueue,
+        seconds: float,
+        is_abandoned: Callable[[], bool],
+    ) -> JobAnswer:
         """Run a job to its outcome, or refuse it; see ``JobDispatcher.submit``."""
         refusal = self._unsupported_reason(spec)
         if refusal:
@@ -89,7 +96,7 @@
         if known is not None and known.spec != spec:
             self.log.write("job.other_body", request=spec.id)
             return JobAnswer(None, "another job of this id is running")
-        job = await self.jobs.submit(spec, queue, seconds)
+        job = await self.jobs.submit(spec, queue, seconds, is_abandoned)
         return JobAnswer(job.outcome, job.why, job.retry_after)
 
     def state(self, job_id: JobId) -> JobState | None:
--- a/bergamotcourse/platform/callers.py
+++ b/bergamotcourse/platform/callers.py
@@ -74,7 +74,7 @@
         except ValueError as error:
             return plain_problem(400, f"malformed job: {error}")
         answer = await self.service.submit(
-            spec, queue, caller_deadline_seconds(request)
+            spec, queue, caller_deadline_seconds(request), request.is_abandoned
         )
         return job_response(answer)
 
--- a/bergamotcourse/transport/http.py
+++ b/bergamotcourse/transport/http.py
@@ -43,6 +43,8 @@
         body: The complete body.
         peer: Address of the client; empty for a request to be sent.
         connection: Number of the connection it came on, unique in the process.
+        is_abandoned: Returns whether the client of a received request has disconnected.
+            The server cancels the handler then, but later than this shows it.
     """
 
     method: str
@@ -51,6 +53,7 @@
     body: bytes = b""
     peer: str = ""
     connection: int = 0
+    is_abandoned: Callable[[], bool] = field(default=lambda: False, compare=False)
 
     def header(self, name: str, default: str = "") -> str:
         """Return the first value of a header, given its name in lower case."""
--- a/bergamotcourse/transport/http_connection.py
+++ b/bergamotcourse/transport/http_connection.py
@@ -12,6 +12,7 @@
     BODILESS_STATUSES,
     RECEIVE_BYTES,
     encode_message,
+    has_peer_closed,
     is_reusable,
     response_head,
 )
@@ -94,6 +95,18 @@
             deadline = trio.current_time() + STOP_GRACE_SECONDS
             self._idle_scope.deadline = min(self._idle_scope.deadline, deadline)
 
+    def is_abandoned(self) -> bool:
+        """Return whether the client has disconnected, even if that is not read yet.
+
+        While this process was paused, a client may have sent a request and closed the
+        connection. The bytes of the request are read first, and the end of the stream
+        in a later pass of the event loop.
+        """
+        if self.input_ended:
+            return True
+        stream = self.stream
+        return isinstance(stream, trio.SocketStream) and has_peer_closed(stream.socket)
+
     async def _serve(self) -> None:
         async with trio.open_nursery() as nursery:
             nursery.start_soon(self._read_stream)
@@ -217,8 +230,9 @@
         One cancel scope covers both: it is cancelled if the client disconnects while
         the request is handled, and has a deadline while the response is sent.
         """
-        if self.input_ended:
+        if self.is_abandoned():
             return False
+        request.is_abandoned = self.is_abandoned
         with trio.CancelScope() as scope:
             self._handler_scope = scope
             try:
--- a/bergamotcourse/transport/http_wire.py
+++ b/bergamotcourse/transport/http_wire.py
@@ -102,6 +102,18 @@
     return http.our_state is h11.DONE and http.their_state is h11.DONE
 
 
+def has_peer_closed(socket: trio.socket.SocketType) -> bool:
+    """Return whether the peer has closed its sending half or reset the connection.
+
+    Unlike receiving, this also finds an end that unread bytes precede.
+    """
+    if socket.fileno() < 0:
+        return True
+    poll = select.poll()
+    poll.register(socket.fileno(), select.POLLRDHUP)
+    return bool(poll.poll(0))
+
+
 def is_readable(socket: trio.socket.SocketType) -> bool:
     """Return whether receiving from or accepting on the socket would not block."""
     if socket.fileno() < 0:
