Soak losses of entries with agents, long pauses of entries, and false reports

Entries and agents are killed at the same moment, in series, and are back within the lease of the workers. Entries are paused until their callers have left and submitted the jobs elsewhere. Agents receive late reports of crashed workers and incomplete ones, and workers restart at other addresses.

The verdict has one more check: nothing starts for a job whose callers have all left a second before. Callers that have waited in vain choose another entry, as the balancer would. The number of processes is an option.

--- a/bergamotcourse/tests/platform/soak/__main__.py
+++ b/bergamotcourse/tests/platform/soak/__main__.py
@@ -28,6 +28,17 @@
 @click.option(
     "--announces-leaving", is_flag=True, help="Replace workers after a short notice."
 )
+@click.option(
+    "--kills-together", is_flag=True, help="Kill entries and agents at the same moment."
+)
+@click.option(
+    "--freezes-entries", is_flag=True, help="Pause entries until callers have left."
+)
+@click.option(
+    "--misreports", is_flag=True, help="Send agents late and incomplete reports."
+)
+@click.option("--entries", default=2, help="Number of entries.")
+@click.option("--agents", default=3, help="Number of agents.")
 @click.option(
     "--keep", type=click.Path(path_type=Path), help="Folder in which logs are kept."
 )
@@ -41,6 +52,11 @@
     deafens: bool,
     delays_orders: bool,
     announces_leaving: bool,
+    kills_together: bool,
+    freezes_entries: bool,
+    misreports: bool,
+    entries: int,
+    agents: int,
     keep: Path | None,
 ):
     """Inject random faults into the real programs and check their guarantees."""
@@ -49,7 +65,16 @@
         numbers = range(first, first + seeds)
         place = keep or Path(folder)
         variant = Variant(
-            keeps_ids, evacuates, deafens, delays_orders, announces_leaving
+            keeps_ids,
+            evacuates,
+            deafens,
+            delays_orders,
+            announces_leaving,
+            kills_together,
+            freezes_entries,
+            misreports,
+            entries,
+            agents,
         )
         results = trio.run(run_all, numbers, seconds, jobs, variant, place)
     faulty = [result.seed for result in results if result.violations]
--- a/bergamotcourse/tests/platform/soak/callers.py
+++ b/bergamotcourse/tests/platform/soak/callers.py
@@ -8,7 +8,13 @@
 
 from bergamotcourse.tests.platform.cluster import make_job
 from bergamotcourse.tests.platform.soak.proxied_cluster import ProxiedCluster
-from bergamotcourse.tests.platform.soak.records import Attempt, CallerOutcome, Records
+from bergamotcourse.tests.platform.soak.records import (
+    DEFAULT_VARIANT,
+    Attempt,
+    CallerOutcome,
+    Records,
+    Variant,
+)
 from bergamotcourse.transport.http_client import HttpClient, HttpError, Sent
 
 RESEND_SECONDS = 1.3
@@ -19,10 +25,24 @@
 """Timeout where workers delay orders, so that a task can be interrupted several times
 before its job times out."""
 
+IMPATIENT_CALLER_TIMEOUT_SECONDS = 1.2
+"""Timeout where entries are paused for long: a caller then closes its connection, and
+submits the job to another entry before the paused one wakes."""
+
 MAX_ATTEMPTS = 3
 SUBMIT_INTERVAL_SECONDS = (0.0, 0.25)
+RECONNECT_SHARE = 0.5
+"""Share of the jobs on new connections where entries are paused. An entry has read the
+requests of most callers on open connections before it is paused."""
+
 MAX_TASKS = 6
+MAX_TASKS_OF_IMPATIENT_CALLERS = 2
+"""There are more of them."""
+
 TASK_SECONDS = (0.05, 0.1, 0.2, 0.4, 1.0)
+LONG_TASK_SECONDS = (0.2, 1.0, 2.0)
+"""Task lengths where entries are killed together with agents, or wake after callers
+have left. Short runs rarely overlap with those that a retry starts."""
 
 OUTCOME_BY_STATUS = {
     503: CallerOutcome.REFUSED,
@@ -38,6 +58,10 @@
     Attributes:
         stopping: Whether callers stop submitting new jobs.
         timeout: Seconds for which they wait for a response.
+        retried_outcomes: Outcomes after which they submit a job again.
+        reconnects: Whether callers use a new connection for a share of their jobs.
+        max_tasks: Most tasks of a job.
+        task_seconds: The lengths of tasks.
     """
 
     def __init__(
@@ -45,9 +69,18 @@
         cluster: ProxiedCluster,
         records: Records,
         rng: random.Random,
-        timeout: float = CALLER_TIMEOUT_SECONDS,
+        variant: Variant = DEFAULT_VARIANT,
     ):
-        self.timeout = timeout
+        self.timeout = caller_timeout(variant)
+        self.retried_outcomes = {CallerOutcome.CUT, CallerOutcome.NOT_SENT}
+        if variant.freezes_entries:
+            self.retried_outcomes.add(CallerOutcome.NO_RESPONSE)
+        long_tasks = variant.kills_together or variant.freezes_entries
+        self.reconnects = variant.freezes_entries
+        self.max_tasks = (
+            MAX_TASKS_OF_IMPATIENT_CALLERS if variant.freezes_entries else MAX_TASKS
+        )
+        self.task_seconds = LONG_TASK_SECONDS if long_tasks else TASK_SECONDS
         self.cluster = cluster
         self.records = records
         self.rng = rng
@@ -62,6 +95,15 @@
                 nursery.start_soon(Caller(self, rng).run)
 
 
+def caller_timeout(variant: Variant) -> float:
+    """Return the seconds for which callers wait for a response."""
+    if variant.freezes_entries:
+        return IMPATIENT_CALLER_TIMEOUT_SECONDS
+    if variant.delays_orders:
+        return PATIENT_CALLER_TIMEOUT_SECONDS
+    return CALLER_TIMEOUT_SECONDS
+
+
 class Caller:
     """One caller, which uses the same entry as long as its connection is open."""
 
@@ -71,6 +113,7 @@
         self.records = callers.records
         self.rng = rng
         self.entry = ""
+        self.last_outcome: CallerOutcome | None = None
         self.client: HttpClient | None = None
 
     async def run(self) -> None:
@@ -78,17 +121,19 @@
         while not self.callers.stopping:
             await trio.sleep(self.rng.uniform(*SUBMIT_INTERVAL_SECONDS))
             await self._submit_job(next(self.callers.numbers))
+            if self.callers.reconnects and self.rng.random() < RECONNECT_SHARE:
+                await self._disconnect()
         await self._disconnect()
 
     async def _submit_job(self, number: int) -> None:
-        work = self.rng.choice(TASK_SECONDS)
-        tasks = self.rng.randint(1, MAX_TASKS)
+        work = self.rng.choice(self.callers.task_seconds)
+        tasks = self.rng.randint(1, self.callers.max_tasks)
         request = make_job(number, work, tasks, caller_ms=int(self.timeout * 1000))
         job = request.target.rpartition("/")[2]
         self.records.tasks[job] = tasks
         for _ in range(MAX_ATTEMPTS):
             outcome = await self._attempt(job, request)
-            if outcome not in (CallerOutcome.CUT, CallerOutcome.NOT_SENT):
+            if outcome not in self.callers.retried_outcomes:
                 return
             await trio.sleep(RESEND_SECONDS)
 
@@ -98,6 +143,7 @@
         sent_at = trio.current_time()
         answer = await self.client.request(request, self.timeout + 1.0)
         outcome, status = classify_response(answer)
+        self.last_outcome = outcome
         if outcome not in (
             CallerOutcome.SUCCEEDED,
             CallerOutcome.FAILED,
@@ -111,7 +157,10 @@
 
     async def _choose_entry(self) -> None:
         await self._disconnect()
-        self.entry = self.rng.choice(self.callers.cluster.entries()).name
+        names = [entry.name for entry in self.callers.cluster.entries()]
+        if self.last_outcome is CallerOutcome.NO_RESPONSE:
+            names.remove(self.entry)
+        self.entry = self.rng.choice(names)
         proxy = self.callers.cluster.proxies[f"front of {self.entry}"]
         self.client = HttpClient(proxy.host, proxy.port)
 
--- a/bergamotcourse/tests/platform/soak/faults.py
+++ b/bergamotcourse/tests/platform/soak/faults.py
@@ -2,12 +2,12 @@
 
 import random
 import signal
-from contextlib import asynccontextmanager
+from contextlib import AsyncExitStack, asynccontextmanager
 
 import trio
 
 from bergamotcourse.standins.order_upstream import Behaviour
-from bergamotcourse.tests.platform.cluster import Node, make_route
+from bergamotcourse.tests.platform.cluster import Node, make_route, send_request
 from bergamotcourse.tests.platform.soak.proxied_cluster import ProxiedCluster
 from bergamotcourse.tests.platform.soak.proxy import Direction, Proxy
 from bergamotcourse.tests.platform.soak.records import (
@@ -19,7 +19,11 @@
     Variant,
 )
 from bergamotcourse.tests.platform.soak.verdict import MAX_LEAVING_DELAY_SECONDS
-from bergamotcourse.tests.platform.standins import HttpWorker
+from bergamotcourse.tests.platform.standins import (
+    REPORT_TIMEOUT_SECONDS,
+    HttpWorker,
+    report_request,
+)
 
 CONCURRENT_FAULTS = 3
 """Number of sequences of faults that run concurrently."""
@@ -28,6 +32,18 @@
 """Additional weight of worker replacement where workers keep their ids. An incarnation
 can be mistaken for its predecessor only once that has advanced its counters."""
 
+EXTRA_VARIANT_WEIGHT = 5
+"""Additional weight of the faults that a variant is about."""
+
+FREEZE_SECONDS = (3.4, 4.6)
+"""Around the time after which the job of a caller that left has started elsewhere."""
+
+QUICK_RESTART_SECONDS = (0.0, 0.2)
+"""Short enough for the next process to be ready before the lease of a worker lapses."""
+
+DROPPED_FIELDS = (1, 4)
+"""Range of the number of fields that an incomplete report lacks."""
+
 FAULT_INTERVAL_SECONDS = (0.05, 1.0)
 FAULT_SECONDS = (0.05, 2.5)
 EVACUATION_SECONDS = (0.5, 9.0)
@@ -79,6 +95,12 @@
         )
         if variant.keeps_ids:
             self.kinds += (self._replace_worker,) * EXTRA_REPLACEMENT_WEIGHT
+        if variant.kills_together:
+            self.kinds += (self._kill_together,) * EXTRA_VARIANT_WEIGHT
+        if variant.freezes_entries:
+            self.kinds += (self._freeze_entry,) * EXTRA_VARIANT_WEIGHT
+        if variant.misreports:
+            self.kinds += (self._misreport,) * EXTRA_VARIANT_WEIGHT
         if variant.deafens:
             self.kinds += (self._deafen, self._configure)
 
@@ -103,10 +125,13 @@
             self.records.count(fault.__name__.strip("_"))
             await fault(rng)
 
+    def _free_processes(self) -> list[str]:
+        return sorted(set(self.cluster.nodes) - self.reserved)
+
     @asynccontextmanager
-    async def _reserve_process(self, rng: random.Random):
-        """Reserve a random free process; yields None if there is none."""
-        free = sorted(set(self.cluster.nodes) - self.reserved)
+    async def _reserve_process(self, rng: random.Random, role: str = ""):
+        """Reserve a random free process of a role; yields None if there is none."""
+        free = [name for name in self._free_processes() if name.startswith(role)]
         if not free:
             yield None
             return
@@ -118,14 +143,16 @@
             self.reserved.discard(node.name)
 
     @asynccontextmanager
-    async def _record_disruption(self, entry: str):
+    async def _record_disruption(self, entry: str, holds_bytes: bool = False):
         """Record the time of a fault and its aftermath as a disruption of ``entry``."""
         begun_at = trio.current_time()
         try:
             yield
         finally:
             ended_at = trio.current_time() + AFTERMATH_SECONDS
-            self.records.disruptions.append(Disruption(entry, begun_at, ended_at))
+            self.records.disruptions.append(
+                Disruption(entry, begun_at, ended_at, holds_bytes)
+            )
 
     # Processes.
 
@@ -136,15 +163,57 @@
                     node.kill()
                     await self._restart(node, rng)
 
+    async def _kill_together(self, rng: random.Random) -> None:
+        """Kill entries and agents at once, several times in a row.
+
+        Mostly an entry survives, for which the agents' next processes start work.
+        """
+        free = self._free_processes()
+        entries = [name for name in free if name.startswith("entry")]
+        agents = [name for name in free if name.startswith("agent")]
+        if not entries or not agents:
+            return
+        spared = rng.random() < 0.8
+        killed_entries = rng.randint(1, max(1, len(entries) - spared))
+        names = rng.sample(entries, killed_entries)
+        names += rng.sample(agents, rng.randint(1, len(agents)))
+        self.reserved.update(names)
+        try:
+            for _ in range(rng.randint(1, 3)):
+                await self._kill_and_restart_all(names, rng)
+                await trio.sleep(rng.uniform(*FAULT_SECONDS))
+        finally:
+            self.reserved.difference_update(names)
+
+    async def _kill_and_restart_all(self, names: list[str], rng: random.Random) -> None:
+        nodes = [self.cluster.nodes[name] for name in names]
+        async with AsyncExitStack() as stack:
+            for node in nodes:
+                await stack.enter_async_context(self._record_disruption(node.name))
+                node.process.kill()
+            for node in nodes:
+                node.process.wait()
+            await trio.sleep(rng.uniform(*QUICK_RESTART_SECONDS))
+            for node in nodes:
+                self.cluster.start_process(node)
+
+    async def _freeze_entry(self, rng: random.Random) -> None:
+        """Pause an entry until its callers have submitted their jobs elsewhere."""
+        async with self._reserve_process(rng, "entry") as node:
+            if node is not None:
+                await self._pause_node(node, rng, FREEZE_SECONDS)
+
     async def _pause(self, rng: random.Random) -> None:
         async with self._reserve_process(rng) as node:
             if node is not None:
-                await self._pause_node(node, rng)
+                await self._pause_node(node, rng, FAULT_SECONDS)
 
-    async def _pause_node(self, node: Node, rng: random.Random) -> None:
+    async def _pause_node(
+        self, node: Node, rng: random.Random, seconds: tuple[float, float]
+    ) -> None:
         async with self._record_disruption(node.name):
             node.send_signal(signal.SIGSTOP)
-            await trio.sleep(rng.uniform(*FAULT_SECONDS))
+            await trio.sleep(rng.uniform(*seconds))
             node.send_signal(signal.SIGCONT)
 
     async def _stop(self, rng: random.Random) -> None:
@@ -166,7 +235,7 @@
                     case 1 | 2:
                         node.send_signal(signal.SIGHUP)
                     case 3:
-                        await self._pause_node(node, rng)
+                        await self._pause_node(node, rng, FAULT_SECONDS)
                 await trio.sleep(rng.uniform(0.0, 0.7))
             if rng.random() < 0.3:
                 async with self._record_disruption(node.name):
@@ -192,7 +261,8 @@
     async def _disturb_proxy(self, rng: random.Random) -> None:
         name = rng.choice(sorted(self.cluster.proxies))
         proxy = self.cluster.proxies[name]
-        async with self._record_disruption(name.removeprefix("front of ")):
+        entry = name.removeprefix("front of ")
+        async with self._record_disruption(entry, holds_bytes=True):
             await self._disturb(proxy, rng)
             proxy.clear_faults()
 
@@ -291,9 +361,29 @@
         await trio.sleep(rng.uniform(*FAULT_SECONDS))
         rate = rng.uniform(*CLOCK_RATES)
         again = former if self.variant.keeps_ids else None
+        if self.variant.misreports and rng.random() < 0.5:
+            await self.cluster.move_worker(worker)
         worker.begin_life(self.cluster.make_upstream(rate, again))
         self.cluster.nursery.start_soon(worker.upstream.run)
 
+    async def _misreport(self, rng: random.Random) -> None:
+        """Send an agent a report that is late or incomplete."""
+        name = rng.choice(sorted(self.cluster.workers))
+        worker = self.cluster.workers[name]
+        crashed = self.cluster.make_upstream()
+        crashed.reports = rng.randint(0, 20)
+        body = worker.report_body(crashed)
+        sender = crashed.id
+        if rng.random() < 0.5:
+            body["address"] = f"{self.cluster.net}.200:8080"
+        if rng.random() < 0.5:
+            sender = rng.choice((sender, worker.upstream.id))
+            for field in rng.sample(sorted(body), rng.randint(*DROPPED_FIELDS)):
+                del body[field]
+        control = self.cluster.nodes[name].addresses["control"]
+        request = report_request(sender, body)
+        await send_request(control, request, REPORT_TIMEOUT_SECONDS)
+
     # Configuration and zones.
 
     async def _evacuate_in_turn(self, ends_at: float) -> None:
--- a/bergamotcourse/tests/platform/soak/proxied_cluster.py
+++ b/bergamotcourse/tests/platform/soak/proxied_cluster.py
@@ -4,6 +4,7 @@
 
 from bergamotcourse.tests.platform.cluster import Cluster
 from bergamotcourse.tests.platform.soak.proxy import Proxy
+from bergamotcourse.tests.platform.standins import HttpWorker
 
 PROXY_HOST = "127.0.0.1"
 
@@ -29,6 +30,15 @@
         await self.nursery.start(proxy.run)
         return proxy.host, proxy.port
 
+    async def move_worker(self, worker: HttpWorker) -> None:
+        """Give a worker another address; its former one resets connections."""
+        for proxy in self.proxies.values():
+            if f"{proxy.host}:{proxy.port}" == worker.address:
+                proxy.refusing = True
+                proxy.reset()
+        port = await self.serve(worker.handle)
+        worker.address = f"{PROXY_HOST}:{port}"
+
     async def open_fronts(self) -> None:
         """Start the proxies that callers use."""
         for node in self.entries():
--- a/bergamotcourse/tests/platform/soak/records.py
+++ b/bergamotcourse/tests/platform/soak/records.py
@@ -36,11 +36,16 @@
 
 @dataclass(frozen=True)
 class Disruption:
-    """A period in which a fault may keep callers of an entry from their responses."""
+    """A period in which a fault may keep callers of an entry from their responses.
+
+    Attributes:
+        holds_bytes: Whether the entry may not learn that a caller has left.
+    """
 
     entry: str
     begun_at: float
     ended_at: float
+    holds_bytes: bool = False
 
 
 @dataclass(frozen=True)
@@ -55,6 +60,14 @@
             and carry them out late.
         announces_leaving: Workers are replaced after a short notice, which their
             reports state; some leave sooner or later than announced.
+        kills_together: Entries and agents are killed at the same moment, again and
+            again, and start again at once.
+        freezes_entries: Entries are paused for so long that callers, who wait a short
+            time, submit their jobs to other entries meanwhile.
+        misreports: Agents receive late reports of crashed workers and incomplete ones
+            of other programs, and workers restart at other addresses.
+        entries: Number of entries.
+        agents: Number of agents.
     """
 
     keeps_ids: bool = False
@@ -62,6 +75,11 @@
     deafens: bool = False
     delays_orders: bool = False
     announces_leaving: bool = False
+    kills_together: bool = False
+    freezes_entries: bool = False
+    misreports: bool = False
+    entries: int = 2
+    agents: int = 3
 
 
 DEFAULT_VARIANT = Variant()
--- a/bergamotcourse/tests/platform/soak/run.py
+++ b/bergamotcourse/tests/platform/soak/run.py
@@ -7,11 +7,7 @@
 import trio
 
 from bergamotcourse.tests.platform.cluster import make_job, send_request
-from bergamotcourse.tests.platform.soak.callers import (
-    CALLER_TIMEOUT_SECONDS,
-    PATIENT_CALLER_TIMEOUT_SECONDS,
-    Callers,
-)
+from bergamotcourse.tests.platform.soak.callers import Callers
 from bergamotcourse.tests.platform.soak.faults import Faults
 from bergamotcourse.tests.platform.soak.proxied_cluster import ProxiedCluster
 from bergamotcourse.tests.platform.soak.records import DEFAULT_VARIANT, Records, Variant
@@ -23,9 +19,10 @@
 )
 from bergamotcourse.transport.http import HttpRequest
 
-ENTRIES = 2
-AGENTS = 3
-CALLERS = 8
+CALLERS_PER_ENTRY = 4
+IMPATIENT_CALLERS_PER_ENTRY = 16
+"""Few of the requests that wait at a paused entry show a fault as it wakes."""
+
 ZONES = ("north", "south")
 
 RECOVERY_SECONDS = 90.0
@@ -78,16 +75,17 @@
     """Run the soak of a seed on an existing cluster."""
     rng = random.Random(seed)
     records = Records()
-    await cluster.start(ENTRIES, AGENTS)
+    await cluster.start(variant.entries, variant.agents)
     await cluster.open_fronts()
-    patient = PATIENT_CALLER_TIMEOUT_SECONDS
-    timeout = patient if variant.delays_orders else CALLER_TIMEOUT_SECONDS
-    callers = Callers(cluster, records, rng, timeout)
+    callers = Callers(cluster, records, rng, variant)
     async with trio.open_nursery() as nursery:
         names = [node.name for node in cluster.entries()]
         nursery.start_soon(record_stalls, records, names)
         async with trio.open_nursery() as calling:
-            calling.start_soon(callers.run, CALLERS)
+            per_entry = CALLERS_PER_ENTRY
+            if variant.freezes_entries:
+                per_entry = IMPATIENT_CALLERS_PER_ENTRY
+            calling.start_soon(callers.run, per_entry * variant.entries)
             await Faults(cluster, records, rng, variant).run(seconds)
             late = await find_stale_configurations(cluster)
             late += await wait_for_recovery(cluster, records)
--- a/bergamotcourse/tests/platform/soak/test_soak.py
+++ b/bergamotcourse/tests/platform/soak/test_soak.py
@@ -45,6 +45,29 @@
         assert result.summary["faults"]["announce_leaving"]
         assert result.violations == []
 
+    @pytest.mark.parametrize("seed", [1, 2])
+    def test_no_violations_when_entries_and_agents_are_killed_together(
+        self, seed, tmp_path
+    ):
+        variant = Variant(kills_together=True)
+        result = trio.run(run_soak, seed, 6.0, tmp_path, variant)
+        assert result.summary["faults"]["kill_together"]
+        assert result.violations == []
+
+    @pytest.mark.parametrize("seed", [1, 2])
+    def test_no_violations_when_entries_wake_after_callers_left(self, seed, tmp_path):
+        variant = Variant(freezes_entries=True)
+        result = trio.run(run_soak, seed, 8.0, tmp_path, variant)
+        assert result.summary["faults"]["freeze_entry"]
+        assert result.violations == []
+
+    @pytest.mark.parametrize("seed", [1, 3])
+    def test_no_violations_when_agents_receive_late_reports(self, seed, tmp_path):
+        variant = Variant(misreports=True)
+        result = trio.run(run_soak, seed, 6.0, tmp_path, variant)
+        assert result.summary["faults"]["misreport"]
+        assert result.violations == []
+
     @pytest.mark.parametrize("seed", [1306])
     def test_no_violations_while_workers_delay_orders(self, seed, tmp_path):
         result = trio.run(run_soak, seed, 10.0, tmp_path, Variant(delays_orders=True))
--- a/bergamotcourse/tests/platform/soak/test_verdict.py
+++ b/bergamotcourse/tests/platform/soak/test_verdict.py
@@ -17,6 +17,7 @@
     StoreOutage,
 )
 from bergamotcourse.tests.platform.soak.verdict import (
+    find_abandoned_starts,
     find_false_returns,
     find_violations,
 )
@@ -42,6 +43,31 @@
     return records
 
 
+class TestAbandonedStarts:
+    """Attempts last 3 s, and the next one begins 2 s later."""
+
+    @pytest.mark.parametrize(
+        "started_at, holds_bytes, found",
+        [
+            (1.0, False, False),
+            (3.5, False, False),
+            (4.5, False, True),
+            (4.5, True, False),
+            (5.5, False, False),
+        ],
+    )
+    def test_of_jobs_whose_callers_have_left_are_found(
+        self, started_at, holds_bytes, found
+    ):
+        records = make_records(
+            CallerOutcome.NO_RESPONSE,
+            CallerOutcome.SUCCEEDED,
+            disruptions=[Disruption("entry-1", 1.0, 9.0, holds_bytes)],
+        )
+        run = make_run(1, started_at, started_at + 0.1)
+        assert bool(find_abandoned_starts(records, [run])) == found
+
+
 class TestRuns:
     def test_consecutive_runs_of_task_are_valid(self):
         history = [make_run(1, 0.0, 1.0, EndKind.LAPSED), make_run(2, 1.0, 2.0)]
--- a/bergamotcourse/tests/platform/soak/verdict.py
+++ b/bergamotcourse/tests/platform/soak/verdict.py
@@ -21,6 +21,13 @@
 """Longest time from the report that a worker leaves until nothing starts on it."""
 
 
+MAX_ABANDONED_SECONDS = 1.0
+"""Longest time from the end of a caller's connection until nothing starts for it, also
+if its entry is killed. Shorter than the delay after which callers resubmit a job."""
+
+LEFT_OUTCOMES = (CallerOutcome.CUT, CallerOutcome.NO_RESPONSE)
+
+
 def find_violations(records: Records, history: list[Run]) -> list[str]:
     """Return one line for each violation of a guarantee."""
     return [
@@ -29,6 +36,7 @@
         *find_false_successes(records, history),
         *find_false_failures(records.attempts, history),
         *find_unsubmitted_jobs(records, history),
+        *find_abandoned_starts(records, history),
         *find_late_starts(history),
         *find_evacuated_starts(records, history),
         *find_unexplained_failures(records, history),
@@ -99,6 +107,27 @@
     return [f"nobody asked for {job}" for job in sorted(ran - set(records.tasks))]
 
 
+def find_abandoned_starts(records: Records, history: list[Run]) -> list[str]:
+    """Return the runs that started although all callers of their job had left."""
+    attempts = defaultdict(list)
+    for one in records.attempts:
+        attempts[one.job].append(one)
+    lines = []
+    for run in history:
+        job = job_id_of_task(run.key.task)
+        before = [one for one in attempts[job] if one.sent_at <= run.started_at]
+        last = max(before, key=lambda one: one.ended_at, default=None)
+        if last is None or last.outcome not in LEFT_OUTCOMES:
+            continue
+        late = run.started_at - last.ended_at
+        if late > MAX_ABANDONED_SECONDS and not any(
+            disruption.holds_bytes and may_explain_failure(disruption, last)
+            for disruption in records.disruptions
+        ):
+            lines.append(f"started {late:.3f} s after its caller left: {run.key.task}")
+    return lines
+
+
 def find_late_starts(history: list[Run]) -> list[str]:
     """Return the starts on a leaving worker too long after its agent knew."""
     return [
--- a/bergamotcourse/tests/platform/standins.py
+++ b/bergamotcourse/tests/platform/standins.py
@@ -31,6 +31,15 @@
 
 END_OF_KEYS = "\uffff"
 
+REPORT_TIMEOUT_SECONDS = 1.0
+"""Time after which the platform's workers consider a report as not received."""
+
+
+def report_request(upstream: str, body: dict) -> HttpRequest:
+    """Return the request that sends a worker's report to its agent."""
+    target = f"/bergamotcourse/Instances.Heartbeat/{upstream}"
+    return HttpRequest("POST", target, [], msgspec.json.encode(body))
+
 
 class StoreStandIn:
     """Stands in for the platform's store.
@@ -217,33 +226,37 @@
             with trio.CancelScope(shield=True):
                 await client.aclose()
 
+    def report_body(self, upstream: OrderUpstream) -> dict:
+        """Return the next report of an incarnation at this worker's address."""
+        upstream.reports += 1
+        body = {
+            "service": upstream.service,
+            "address": self.address,
+            "zone": self.zone,
+            "version": "v1",
+            "slots": 8,
+            "state": "draining" if upstream.draining else "ready",
+            "cold_remaining_ms": 0,
+            "capacity": {"cpu": upstream.capacity.cpu, "mem_mb": 65536},
+            "labels": ["a", "r1"],
+            "clock_ms": int(upstream.clock() * 1000),
+            "sequence": upstream.reports,
+        }
+        if upstream.incarnation:
+            body["born"] = upstream.incarnation
+        if (left := upstream.remaining_seconds()) is not None:
+            body["remaining_ms"] = round(left * 1000)
+        return body
+
     async def _send_reports(self, client, seconds):
         while True:
             if self.upstream.down:
                 await trio.sleep(seconds)
                 continue
             upstream = self.upstream
-            upstream.reports += 1
-            body = {
-                "service": self.upstream.service,
-                "address": self.address,
-                "zone": self.zone,
-                "version": "v1",
-                "slots": 8,
-                "state": "draining" if self.upstream.draining else "ready",
-                "cold_remaining_ms": 0,
-                "capacity": {"cpu": self.upstream.capacity.cpu, "mem_mb": 65536},
-                "labels": ["a", "r1"],
-                "clock_ms": self.clock_ms(),
-                "sequence": upstream.reports,
-            }
-            if upstream.incarnation:
-                body["born"] = upstream.incarnation
-            if (left := upstream.remaining_seconds()) is not None:
-                body["remaining_ms"] = round(left * 1000)
-            target = f"/bergamotcourse/Instances.Heartbeat/{self.upstream.id}"
-            request = HttpRequest("POST", target, [], msgspec.json.encode(body))
-            answer = await client.request(request, 1.0)
+            body = self.report_body(upstream)
+            request = report_request(upstream.id, body)
+            answer = await client.request(request, REPORT_TIMEOUT_SECONDS)
             taken = answer.is_ok() and answer.ok.status == 200
             if taken and body["state"] == "draining" and upstream is self.upstream:
                 self.drain_reported_at = self.drain_reported_at or trio.current_time()
