Let no overtaken answer replace the boot that answered later

By reading, for the replacement of an upstream by a report: while the present upstream is asked, a boot that has answered may crash, and the next boot at its address may be in use before the answer of the present one. The earlier boot then ended the life of the later one, and its runs were told as crashed.

The test fails without the comparison of the two answers: the later boot was gone. At one address the upstream that answered last is the one that is there.

An address that answers with an error, neither as an upstream nor as another boot, no longer keeps a successor at another address waiting for good. Runs at the former one have no outcome before its lease has lapsed, as without an answer.

--- a/bergamotcourse/coordination/jobs/executor.py
+++ b/bergamotcourse/coordination/jobs/executor.py
@@ -657,9 +657,9 @@
         return UpstreamLife(
             report,
             self.connect(report),
-            report.clock - self.timers.lease_now(),
-            self.process_started_at + UPSTREAM_LEASE_EXPIRY_SECONDS,
-            self.timers.now(),
+            clock_offset=report.clock - self.timers.lease_now(),
+            lapses_at=self.process_started_at + UPSTREAM_LEASE_EXPIRY_SECONDS,
+            reported_at=self.timers.now(),
         )
 
     async def _adopt(self, candidate: Candidate, holding: Holding) -> bool:
@@ -673,31 +673,37 @@
         Returns:
             Whether the life has begun.
         """
-        report = candidate.life.report
+        life = candidate.life
         while self.life is not None:
-            if not await self._give_way(self.life, report):
+            if not await self._make_way(self.life, life):
                 return False
-        kind = self.lives.classify_report(None, report)
+        kind = self.lives.classify_report(None, life.report)
         if kind is not ReportKind.NEXT_LIFE:
             return False
         if candidate.is_recalled:
-            self.log.write("upstream.recalled", upstream=report.id)
-        self._begin_life(candidate.life, holding)
+            self.log.write("upstream.recalled", upstream=life.report.id)
+        self._begin_life(life, holding)
         return True
 
-    async def _give_way(self, life: UpstreamLife, successor: UpstreamReport) -> bool:
+    async def _make_way(self, life: UpstreamLife, successor: UpstreamLife) -> bool:
         """End the current life if its upstream is gone, or does not answer.
 
         Args:
             life: The current life.
-            successor: The report of another life, whose upstream has answered.
+            successor: A life whose upstream has answered.
 
         Returns:
-            Whether another life may be current.
+            Whether the successor may take its place.
         """
-        again = life.report.id == successor.id
+        present, next_report = life.report, successor.report
+        if present.life == next_report.life:
+            return False
+        again = present.id == next_report.id
         reason = RESTARTED_REASON if again else REPLACED_REASON
-        if life.report.address == successor.address:
+        if present.address == next_report.address:
+            # One upstream is at an address at a time: the one that answered last.
+            if successor.answer_made_at < life.answer_made_at:
+                return False
             self._end_life(reason)
             return True
         answer = await self.order_sender.probe(life)
@@ -706,12 +712,12 @@
         match answer:
             case HoldFailure.OTHER_BOOT:
                 self._end_life(OTHER_BOOT_REASON)
-            case HoldFailure.NO_ANSWER:
+            case HoldFailure.NO_ANSWER | HoldFailure.REFUSED:
                 self._replace_silent_life(reason)
             case _:
-                self.standby = successor
+                self.standby = next_report
                 self.log.write(
-                    "upstream.standby", upstream=successor.id, here=life.report.id
+                    "upstream.standby", upstream=next_report.id, here=present.id
                 )
                 return False
         return True
--- a/bergamotcourse/tests/jobs/test_succession.py
+++ b/bergamotcourse/tests/jobs/test_succession.py
@@ -230,6 +230,34 @@
 
         run_fleet(main, agents=1)
 
+    def test_answer_from_before_the_next_boot_does_not_replace_that(self):
+        """Guards against a boot that crashes while the present upstream is asked.
+
+        The boot after it at the same address has answered later, and is in use.
+        """
+
+        async def main(fleet):
+            executor = executor_of(fleet)
+            former = fleet.upstreams[AGENT]
+            former.behaviour.unanswered = 1.0
+            address = "10.0.0.1:80"
+            crashing = fleet.start_upstream(AGENT)
+            executor.handle_upstream_report(replace(crashing.report(), address=address))
+            await trio.sleep(ASK_TIMEOUT_SECONDS / 2)
+            crashing.crash()
+            successor = fleet.replace_at_address(AGENT)
+            executor.handle_upstream_departure(former.report().life)
+            executor.handle_upstream_report(
+                replace(successor.report(), address=address)
+            )
+            await trio.sleep(3 * ROUND_TRIP_SECONDS)
+            assert current_id(fleet) == successor.id
+            await trio.sleep(ASK_TIMEOUT_SECONDS)
+            assert current_id(fleet) == successor.id
+            assert len(fleet.logged("upstream.gone")) == 1
+
+        run_fleet(main, agents=1)
+
     def test_draining_is_known_at_its_first_answer(self):
         """Guards against tasks for an upstream that has announced its departure."""
 
