--- a/bergamotcourse/platform/documents.py
+++ b/bergamotcourse/platform/documents.py
@@ -120,9 +120,10 @@
 
     Attributes:
         born: Milliseconds since 1970 at the start of the worker's process.
-        remaining_ms: Least time until a draining worker stops. Like the next field, it
-            is decoded on its own, so that a fault in it leaves the rest usable.
-        cold_remaining_ms: Time for which the worker stays slow after its start.
+        cold_remaining_ms: Time for which the worker stays slow after its start. Like
+            the next field, it is decoded on its own, so that a fault in its value
+            leaves the rest usable.
+        remaining_ms: Least time until a draining worker stops.
     """
 
     service: str
@@ -135,9 +136,9 @@
     capacity: WireCapacity
     clock_ms: NonNegativeInt
     labels: list[str]
+    cold_remaining_ms: msgspec.Raw
     born: NonNegativeInt = 0
     remaining_ms: msgspec.Raw | msgspec.UnsetType = msgspec.UNSET
-    cold_remaining_ms: msgspec.Raw | msgspec.UnsetType = msgspec.UNSET
 
 
 class FieldFault(Enum):
--- a/bergamotcourse/tests/platform/test_documents.py
+++ b/bergamotcourse/tests/platform/test_documents.py
@@ -43,6 +43,7 @@
     "sequence": 4,
     "capacity": {"cpu": 16000, "mem_mb": 32768, "gpu": 0},
     "labels": ["a", "r1-3"],
+    "cold_remaining_ms": 0,
     "clock_ms": 482113,
 }
 
--- a/bergamotcourse/tests/platform/test_reports.py
+++ b/bergamotcourse/tests/platform/test_reports.py
@@ -83,6 +83,7 @@
     "no slots": without("slots"),
     "a text as slots": encode_with_changes(slots="8"),
     "no labels": without("labels"),
+    "no time for which it is cold": without("cold_remaining_ms"),
     "no sequence": without("sequence"),
     "an unknown state": encode_with_changes(state="warming"),
     "an unknown service": encode_with_changes(service="mail"),
