--- a/bergamotcourse/tests/jobs/test_succession.py
+++ b/bergamotcourse/tests/jobs/test_succession.py
@@ -47,16 +47,15 @@
 
 
 def incomplete_report(fleet):
-    """Return a report of an upstream that does not exist."""
+    """Return a report of another program, at whose address nobody answers."""
+    boot = crashed_boot(fleet)
     report = replace(
-        fleet.upstreams[AGENT].report(),
+        boot,
         id=UpstreamId("i-other"),
         incarnation=Incarnation(0),
         address="10.0.0.1:80",
     )
-    fleet.lives[report.id] = crashed = fleet.start_upstream(AGENT)
-    fleet.upstreams[AGENT] = fleet.lives[executor_of(fleet).life.report.id]
-    crashed.crash()
+    fleet.lives[report.id] = fleet.lives[boot.id]
     return report
 
 
