Ask an upstream that does not answer less and less often

Where nobody listens at the address of a report, each hold fails at once, and an agent asked 65 times in the 2 s, also at its start for the stored report of an upstream that is gone. The delay now doubles up to 0.25 s, so it asks 12 times. An answer that is lost is asked for again after 0.03 s, as before.

In the soak, callers also choose among one entry, and the share of kills that an entry survives has a name.

--- a/bergamotcourse/coordination/jobs/upstream_candidates.py
+++ b/bergamotcourse/coordination/jobs/upstream_candidates.py
@@ -32,6 +32,10 @@
 Longer than the interval between reports, so that one that reports is asked until it
 answers."""
 
+MAX_RETRY_SECONDS = 0.25
+"""Limit of the delay between two holds to a candidate, which doubles each time. Where
+nobody listens at its address, a hold fails at once."""
+
 
 @dataclass
 class Candidate:
@@ -124,6 +128,7 @@
     async def _ask(self, candidate: Candidate) -> Holding | None:
         """Return the candidate's answer, or ``None`` if it does not answer."""
         life = candidate.life
+        delay = ORDER_RETRY_SECONDS
         while True:
             answer = await self.order_sender.probe(life)
             match answer:
@@ -137,7 +142,8 @@
                     break
             if self.timers.now() >= candidate.ask_until:
                 break
-            await trio.sleep(ORDER_RETRY_SECONDS)
+            await trio.sleep(delay)
+            delay = min(2 * delay, MAX_RETRY_SECONDS)
         failure = HoldFailure.OTHER_BOOT if isinstance(answer, Holding) else answer
         self._log_unconfirmed(life.report, failure.value)
         return None
--- a/bergamotcourse/tests/platform/soak/callers.py
+++ b/bergamotcourse/tests/platform/soak/callers.py
@@ -158,7 +158,7 @@
     async def _choose_entry(self) -> None:
         await self._disconnect()
         names = [entry.name for entry in self.callers.cluster.entries()]
-        if self.last_outcome is CallerOutcome.NO_RESPONSE:
+        if self.last_outcome is CallerOutcome.NO_RESPONSE and len(names) > 1:
             names.remove(self.entry)
         self.entry = self.rng.choice(names)
         proxy = self.callers.cluster.proxies[f"front of {self.entry}"]
--- a/bergamotcourse/tests/platform/soak/faults.py
+++ b/bergamotcourse/tests/platform/soak/faults.py
@@ -41,6 +41,9 @@
 QUICK_RESTART_SECONDS = (0.0, 0.2)
 """Short enough for the next process to be ready before the lease of a worker lapses."""
 
+SURVIVING_ENTRY_SHARE = 0.8
+"""Share of the common kills of entries and agents that at least one entry survives."""
+
 DROPPED_FIELDS = (1, 4)
 """Range of the number of fields that an incomplete report lacks."""
 
@@ -173,9 +176,10 @@
         agents = [name for name in free if name.startswith("agent")]
         if not entries or not agents:
             return
-        spared = rng.random() < 0.8
-        killed_entries = rng.randint(1, max(1, len(entries) - spared))
-        names = rng.sample(entries, killed_entries)
+        most = (
+            len(entries) - 1 if rng.random() < SURVIVING_ENTRY_SHARE else len(entries)
+        )
+        names = rng.sample(entries, rng.randint(1, max(1, most)))
         names += rng.sample(agents, rng.randint(1, len(agents)))
         self.reserved.update(names)
         try:
