--- a/bergamotcourse/transport/http_wire.py
+++ b/bergamotcourse/transport/http_wire.py
@@ -107,18 +107,19 @@
 
     Unlike receiving, this also finds an end that unread bytes precede.
     """
-    if socket.fileno() < 0:
-        return True
-    poll = select.poll()
-    poll.register(socket.fileno(), select.POLLRDHUP)
-    return bool(poll.poll(0))
+    return _has_event(socket, select.POLLRDHUP)
 
 
 def is_readable(socket: trio.socket.SocketType) -> bool:
     """Return whether receiving from or accepting on the socket would not block."""
+    return _has_event(socket, select.POLLIN)
+
+
+def _has_event(socket: trio.socket.SocketType, event: int) -> bool:
+    """Return whether an event of ``poll`` is present, or the connection has failed."""
     if socket.fileno() < 0:
         # The socket is closed: a call would fail at once.
         return True
     poll = select.poll()
-    poll.register(socket.fileno(), select.POLLIN)
+    poll.register(socket.fileno(), event)
     return bool(poll.poll(0))
