Decide in one place whether an answer may be from a life

The check of new connections and the check of a first answer had the same rule twice: an answer without an incarnation is accepted. The second now turns the answer of another life into ``OTHER_BOOT`` where it is received.

--- a/bergamotcourse/coordination/jobs/upstream_candidates.py
+++ b/bergamotcourse/coordination/jobs/upstream_candidates.py
@@ -130,24 +130,33 @@
         life = candidate.life
         delay = ORDER_RETRY_SECONDS
         while True:
-            answer = await self.order_sender.probe(life)
+            answer = await self._probe(life)
             match answer:
-                case Holding() if _is_from(answer, life.report):
+                case Holding():
                     life.update_clock(answer.clock, self.timers.lease_now())
                     return answer
                 case HoldFailure.FENCED:
                     self.fenced.add(life.report.life)
                     break
-                case Holding() | HoldFailure.OTHER_BOOT:
+                case HoldFailure.OTHER_BOOT:
                     break
             if self.timers.now() >= candidate.ask_until:
                 break
             await trio.sleep(delay)
             delay = min(2 * delay, MAX_RETRY_SECONDS)
-        failure = HoldFailure.OTHER_BOOT if isinstance(answer, Holding) else answer
-        self._log_unconfirmed(life.report, failure.value)
+        self._log_unconfirmed(life.report, answer.value)
         return None
 
+    async def _probe(self, life: UpstreamLife) -> Holding | HoldFailure:
+        """Ask a life once; the answer of another one is ``OTHER_BOOT``.
+
+        A port does not check the incarnation if the report has none.
+        """
+        answer = await self.order_sender.probe(life)
+        if isinstance(answer, Holding) and not answer.may_be_from(life.report.life):
+            return HoldFailure.OTHER_BOOT
+        return answer
+
     def _log_unconfirmed(self, report: UpstreamReport, why: str) -> None:
         self.log.write(
             "upstream.unconfirmed",
@@ -156,11 +165,3 @@
             address=report.address,
             why=why,
         )
-
-
-def _is_from(holding: Holding, report: UpstreamReport) -> bool:
-    """Return whether an answer is from the life that sent a report.
-
-    An answer without an incarnation is accepted.
-    """
-    return holding.incarnation in (0, report.incarnation)
--- a/bergamotcourse/platform/worker_orders.py
+++ b/bergamotcourse/platform/worker_orders.py
@@ -209,17 +209,15 @@
         )
 
     def _refuse_other_incarnation(self, response: HttpResponse) -> HttpResponse | None:
-        """Return a refusal unless the addressed incarnation answered.
-
-        An answer without an incarnation is accepted.
-        """
+        """Return a refusal unless the addressed incarnation may have answered."""
         if response.status != 200:
             return response
         holding = decode_holding(response.body)
         if not isinstance(holding, Holding):
             return HttpResponse(UNREADABLE_REPLY_STATUS)
-        is_meant = holding.incarnation in (0, self.life.incarnation)
-        return None if is_meant else HttpResponse(OTHER_BOOT_STATUS)
+        if holding.may_be_from(self.life):
+            return None
+        return HttpResponse(OTHER_BOOT_STATUS)
 
 
 class DecodedReply(msgspec.Struct):
--- a/bergamotcourse/protocol/upstream_orders.py
+++ b/bergamotcourse/protocol/upstream_orders.py
@@ -150,6 +150,13 @@
     ended: tuple[EndedRun, ...]
     incarnation: Incarnation = Incarnation(0)
 
+    def may_be_from(self, life: LifeKey) -> bool:
+        """Return whether a life under the answering id may have sent it.
+
+        An answer without an incarnation is accepted.
+        """
+        return self.incarnation in (0, life.incarnation)
+
 
 @dataclass(frozen=True)
 class StartOrder:
