Ask once for each request whether its caller has left

The server asks right before it handles a request, and a new job is placed in the same pass without a pause in between, so the dispatcher asked a second time for nothing. It still asks before all later placements: a job gets its callers after the first.

--- a/bergamotcourse/coordination/jobs/job_dispatcher.py
+++ b/bergamotcourse/coordination/jobs/job_dispatcher.py
@@ -147,16 +147,16 @@
             spec: The job.
             queue: Its queue.
             seconds: Seconds for which the caller waits for the response.
-            is_abandoned: Returns whether the caller has disconnected.
+            is_abandoned: Returns whether the caller has disconnected. The caller is
+                connected at the time of this call.
 
         Returns:
             The job with its outcome.
         """
         job = self.jobs.get(spec.id)
         if job is None:
-            job = self._admit(spec, queue, seconds, is_abandoned)
-        else:
-            job.callers.append(is_abandoned)
+            job = self._admit(spec, queue, seconds)
+        job.callers.append(is_abandoned)
         try:
             await self._await_outcome(job, seconds - RESPONSE_MARGIN_SECONDS)
         finally:
@@ -342,16 +342,9 @@
 
     # Admission and outcomes of jobs.
 
-    def _admit(
-        self,
-        spec: JobSpec,
-        queue: JobQueue,
-        seconds: float,
-        is_abandoned: Callable[[], bool] = never_abandoned,
-    ) -> JobRun:
+    def _admit(self, spec: JobSpec, queue: JobQueue, seconds: float) -> JobRun:
         factor = self.estimates.factor(queue.name)
         job = JobRun(spec, queue, self.timers.now(), factor)
-        job.callers.append(is_abandoned)
         self.jobs[spec.id] = job
         self.waiting.append(job)
         for step in spec.steps:
--- a/bergamotcourse/coordination/jobs/job_run.py
+++ b/bergamotcourse/coordination/jobs/job_run.py
@@ -142,8 +142,10 @@
         return self.possible_runs > 0
 
     def is_abandoned(self) -> bool:
-        """Return whether all callers have disconnected."""
-        return all(has_disconnected() for has_disconnected in self.callers)
+        """Return whether all callers have disconnected; false before the first."""
+        return bool(self.callers) and all(
+            has_disconnected() for has_disconnected in self.callers
+        )
 
     @property
     def start_by(self) -> float:
