Share the set-up of tests and of the soak's variants

Runs of a job, the loss of an entry with work and the return of its caller, and the soaks in which a fault has to occur had several copies each. How callers of a soak behave was spread over six conditions; each variant now has one value with all habits.

--- a/bergamotcourse/tests/jobs/fleets.py
+++ b/bergamotcourse/tests/jobs/fleets.py
@@ -6,6 +6,11 @@
 from bergamotcourse.virtual.job_fleet import JobFleet
 
 
+def runs_of(fleet, name):
+    """Return the runs of the tasks of a job."""
+    return [run for run in fleet.history if run.key.task.startswith(f"{name}.")]
+
+
 def run_fleet(main, seed=1, **shape):
     """Start a fleet, run ``main`` with it, and return the result of ``main``."""
 
--- a/bergamotcourse/tests/jobs/test_abandoned_jobs.py
+++ b/bergamotcourse/tests/jobs/test_abandoned_jobs.py
@@ -5,7 +5,7 @@
 from msgspec import structs
 
 from bergamotcourse.coordination.jobs.job_run import JobOutcome
-from bergamotcourse.tests.jobs.fleets import run_fleet
+from bergamotcourse.tests.jobs.fleets import run_fleet, runs_of
 from bergamotcourse.virtual.job_fleet import QUEUE, job
 
 WORK_SECONDS = 0.5
@@ -29,8 +29,7 @@
         )
 
     def runs(self):
-        name = f"{self.spec.id}."
-        return [r for r in self.fleet.history if r.key.task.startswith(name)]
+        return runs_of(self.fleet, self.spec.id)
 
     async def wait_for_start(self):
         while not self.runs():
--- a/bergamotcourse/tests/jobs/test_guards.py
+++ b/bergamotcourse/tests/jobs/test_guards.py
@@ -16,61 +16,56 @@
 QUEUE_AND_TIMEOUT = (QUEUE, 30.0)
 
 
-async def entry_killed(fleet):
-    """An entry is killed; its caller resends the job to another entry."""
+async def kill_entry_with_work(fleet):
+    """Kill the first entry while it has a job in progress."""
     fleet.nursery.start_soon(fleet.submit, "entry-1", LONG_JOB, *QUEUE_AND_TIMEOUT)
     await trio.sleep(0.5)
     fleet.entries["entry-1"].kill()
+
+
+async def resend(fleet):
+    """Send the job to another entry as its caller does; return the overlapping runs."""
     await trio.sleep(CALLER_RESEND_SECONDS)
     fleet.nursery.start_soon(fleet.submit, "entry-2", LONG_JOB, *QUEUE_AND_TIMEOUT)
     await trio.sleep(2.0)
     return fleet.overlaps()
 
 
+async def entry_killed(fleet):
+    """An entry is killed; its caller resends the job to another entry."""
+    await kill_entry_with_work(fleet)
+    return await resend(fleet)
+
+
 async def all_killed(fleet):
     """An entry and all agents are killed; only the upstreams' leases end the runs."""
-    fleet.nursery.start_soon(fleet.submit, "entry-1", LONG_JOB, *QUEUE_AND_TIMEOUT)
-    await trio.sleep(0.5)
-    fleet.entries["entry-1"].kill()
+    await kill_entry_with_work(fleet)
     for agent in list(fleet.agents):
         fleet.agents[agent].kill()
     for upstream in list(fleet.upstreams):
         fleet.start_agent(upstream)
-    await trio.sleep(CALLER_RESEND_SECONDS)
-    fleet.nursery.start_soon(fleet.submit, "entry-2", LONG_JOB, *QUEUE_AND_TIMEOUT)
-    await trio.sleep(2.0)
-    return fleet.overlaps()
+    return await resend(fleet)
 
 
 async def entry_and_its_agents_lost(fleet):
     """An entry and the agents of its runs are killed, and these agents stay away."""
-    fleet.nursery.start_soon(fleet.submit, "entry-1", LONG_JOB, *QUEUE_AND_TIMEOUT)
-    await trio.sleep(0.5)
-    fleet.entries["entry-1"].kill()
+    await kill_entry_with_work(fleet)
     for agent, upstream in fleet.upstreams.items():
         if upstream.running:
             fleet.agents[agent].kill()
-    await trio.sleep(CALLER_RESEND_SECONDS)
-    fleet.nursery.start_soon(fleet.submit, "entry-2", LONG_JOB, *QUEUE_AND_TIMEOUT)
-    await trio.sleep(2.0)
-    return fleet.overlaps()
+    return await resend(fleet)
 
 
 async def entry_and_agents_killed_under_load(fleet):
     """An entry and all agents are killed, and another entry has work for the agents."""
-    fleet.nursery.start_soon(fleet.submit, "entry-1", LONG_JOB, *QUEUE_AND_TIMEOUT)
-    await trio.sleep(0.5)
-    fleet.entries["entry-1"].kill()
+    await kill_entry_with_work(fleet)
     for agent in list(fleet.agents):
         fleet.agents[agent].kill()
         fleet.start_agent(agent)
     for number in range(4):
         spec = job(f"load-{number}", tasks=8, work=1.0)
         fleet.nursery.start_soon(fleet.submit, "entry-2", spec, *QUEUE_AND_TIMEOUT)
-    await trio.sleep(CALLER_RESEND_SECONDS)
-    fleet.nursery.start_soon(fleet.submit, "entry-2", LONG_JOB, *QUEUE_AND_TIMEOUT)
-    await trio.sleep(2.0)
-    return fleet.overlaps()
+    return await resend(fleet)
 
 
 async def agent_cut(fleet):
--- a/bergamotcourse/tests/jobs/test_near_data.py
+++ b/bergamotcourse/tests/jobs/test_near_data.py
@@ -5,7 +5,7 @@
 from bergamotcourse.coordination.jobs.job_run import JobOutcome
 from bergamotcourse.coordination.jobs.policy import JobPolicy
 from bergamotcourse.coordination.jobs.rack_demand import RACK_DEMAND_SECONDS, RackDemand
-from bergamotcourse.tests.jobs.fleets import run_fleet
+from bergamotcourse.tests.jobs.fleets import run_fleet, runs_of
 from bergamotcourse.virtual.job_fleet import QUEUE, REMOTE_FACTOR, job
 
 FLEET = {"agents": 4, "racks": 4}
@@ -14,7 +14,7 @@
 def racks_of(fleet, name):
     """Return the racks in which the tasks of a job ran."""
     agents = {upstream.id: agent for agent, upstream in fleet.upstreams.items()}
-    runs = [run for run in fleet.history if run.key.task.startswith(f"{name}.")]
+    runs = runs_of(fleet, name)
     return [fleet.rack_of(agents[run.upstream]) for run in runs]
 
 
--- a/bergamotcourse/tests/jobs/test_unclaimed_runs.py
+++ b/bergamotcourse/tests/jobs/test_unclaimed_runs.py
@@ -5,10 +5,10 @@
 
 from bergamotcourse.coordination.jobs.job_run import JobOutcome
 from bergamotcourse.protocol.upstream_orders import EndKind, RunKey
-from bergamotcourse.tests.jobs.fleets import run_fleet
+from bergamotcourse.tests.jobs.chaos import CALLER_RETRY_SECONDS
+from bergamotcourse.tests.jobs.fleets import run_fleet, runs_of
 from bergamotcourse.virtual.job_fleet import job
 
-RESEND_SECONDS = 1.3
 RESTART_SECONDS = 0.05
 WORK_SECONDS = 1.8
 LOAD_WORK_SECONDS = 0.4
@@ -33,10 +33,6 @@
         await trio.sleep(0.005)
 
 
-def runs_of(fleet, name):
-    return [run for run in fleet.history if run.key.task.startswith(f"{name}.")]
-
-
 def kill(fleet, *names):
     for name in names:
         (fleet.agents.get(name) or fleet.entries[name]).kill()
@@ -77,7 +73,7 @@
                 kill(fleet, "entry-1")
             await trio.sleep(RESTART_SECONDS)
             start(fleet, *agents, "entry-1")
-            await trio.sleep(RESEND_SECONDS - RESTART_SECONDS)
+            await trio.sleep(CALLER_RETRY_SECONDS - RESTART_SECONDS)
             assert [run for run in runs_of(fleet, "a") if run.ended_at is None] == []
             await fleet.submit("entry-2", job("a", tasks=4, work=WORK_SECONDS))
             assert fleet.overlaps() == []
--- a/bergamotcourse/tests/jobs/test_upstream_restart.py
+++ b/bergamotcourse/tests/jobs/test_upstream_restart.py
@@ -6,7 +6,7 @@
 from bergamotcourse.coordination.jobs.job_run import JobOutcome
 from bergamotcourse.ids import Incarnation
 from bergamotcourse.protocol.upstream_orders import LifeKey
-from bergamotcourse.tests.jobs.fleets import run_fleet
+from bergamotcourse.tests.jobs.fleets import run_fleet, runs_of
 from bergamotcourse.virtual.job_fleet import REPORT_SECONDS, job
 
 DOWNTIME_SECONDS = 1.0
@@ -26,10 +26,6 @@
     return fleet.restart_upstream(agent)
 
 
-def runs_of(fleet, name):
-    return [run for run in fleet.history if run.key.task.startswith(f"{name}.")]
-
-
 class TestDraining:
     def test_of_a_restarted_upstream_is_applied(self):
         """Guards against placing tasks on an upstream that has announced its departure.
--- a/bergamotcourse/tests/platform/soak/callers.py
+++ b/bergamotcourse/tests/platform/soak/callers.py
@@ -2,6 +2,7 @@
 
 import itertools
 import random
+from dataclasses import dataclass
 
 import trio
 from expression import Result
@@ -25,25 +26,15 @@
 """Timeout where workers delay orders, so that a task can be interrupted several times
 before its job times out."""
 
-IMPATIENT_CALLER_TIMEOUT_SECONDS = 1.2
-"""Timeout where entries are paused for long: a caller then closes its connection, and
-submits the job to another entry before the paused one wakes."""
-
 MAX_ATTEMPTS = 3
 SUBMIT_INTERVAL_SECONDS = (0.0, 0.25)
-RECONNECT_SHARE = 0.5
-"""Share of the jobs on new connections where entries are paused. An entry has read the
-requests of most callers on open connections before it is paused."""
-
-MAX_TASKS = 6
-MAX_TASKS_OF_IMPATIENT_CALLERS = 2
-"""There are more of them."""
-
 TASK_SECONDS = (0.05, 0.1, 0.2, 0.4, 1.0)
 LONG_TASK_SECONDS = (0.2, 1.0, 2.0)
 """Task lengths where entries are killed together with agents, or wake after callers
 have left. Short runs rarely overlap with those that a retry starts."""
 
+INTERRUPTED_OUTCOMES = frozenset((CallerOutcome.CUT, CallerOutcome.NOT_SENT))
+
 OUTCOME_BY_STATUS = {
     503: CallerOutcome.REFUSED,
     504: CallerOutcome.TIMED_OUT,
@@ -52,18 +43,60 @@
 }
 
 
-class Callers:
-    """Concurrent callers that submit jobs until ``stopping`` is set.
+@dataclass(frozen=True)
+class Habits:
+    """How the callers of a soak behave.
 
     Attributes:
-        stopping: Whether callers stop submitting new jobs.
+        per_entry: Number of callers for each entry.
         timeout: Seconds for which they wait for a response.
         retried_outcomes: Outcomes after which they submit a job again.
-        reconnects: Whether callers use a new connection for a share of their jobs.
+        reconnect_share: Share of the jobs after which they open a new connection.
         max_tasks: Most tasks of a job.
         task_seconds: The lengths of tasks.
     """
 
+    per_entry: int = 4
+    timeout: float = CALLER_TIMEOUT_SECONDS
+    retried_outcomes: frozenset[CallerOutcome] = INTERRUPTED_OUTCOMES
+    reconnect_share: float = 0.0
+    max_tasks: int = 6
+    task_seconds: tuple[float, ...] = TASK_SECONDS
+
+
+IMPATIENT = Habits(
+    per_entry=16,
+    timeout=1.2,
+    retried_outcomes=INTERRUPTED_OUTCOMES | {CallerOutcome.NO_RESPONSE},
+    reconnect_share=0.5,
+    max_tasks=2,
+    task_seconds=LONG_TASK_SECONDS,
+)
+"""Habits where entries are paused for long: a caller then closes its connection, and
+submits the job to another entry before the paused one wakes. Many callers on new
+connections are needed: an entry has read the requests of most others before its pause,
+and few of the requests that wait show a fault as it wakes."""
+
+
+def habits_in(variant: Variant) -> Habits:
+    """Return the habits of the callers in a variant of the soak."""
+    if variant.freezes_entries:
+        return IMPATIENT
+    patient = PATIENT_CALLER_TIMEOUT_SECONDS
+    return Habits(
+        timeout=patient if variant.delays_orders else CALLER_TIMEOUT_SECONDS,
+        task_seconds=LONG_TASK_SECONDS if variant.kills_together else TASK_SECONDS,
+    )
+
+
+class Callers:
+    """Concurrent callers that submit jobs until ``stopping`` is set.
+
+    Attributes:
+        habits: How they behave.
+        stopping: Whether callers stop submitting new jobs.
+    """
+
     def __init__(
         self,
         cluster: ProxiedCluster,
@@ -71,45 +104,28 @@
         rng: random.Random,
         variant: Variant = DEFAULT_VARIANT,
     ):
-        self.timeout = caller_timeout(variant)
-        self.retried_outcomes = {CallerOutcome.CUT, CallerOutcome.NOT_SENT}
-        if variant.freezes_entries:
-            self.retried_outcomes.add(CallerOutcome.NO_RESPONSE)
-        long_tasks = variant.kills_together or variant.freezes_entries
-        self.reconnects = variant.freezes_entries
-        self.max_tasks = (
-            MAX_TASKS_OF_IMPATIENT_CALLERS if variant.freezes_entries else MAX_TASKS
-        )
-        self.task_seconds = LONG_TASK_SECONDS if long_tasks else TASK_SECONDS
+        self.habits = habits_in(variant)
         self.cluster = cluster
         self.records = records
         self.rng = rng
         self.stopping = False
         self.numbers = itertools.count(1)
 
-    async def run(self, count: int) -> None:
-        """Run ``count`` callers, each with one job in flight at a time."""
+    async def run(self) -> None:
+        """Run the callers, each with one job in flight at a time."""
+        count = self.habits.per_entry * len(self.cluster.entries())
         async with trio.open_nursery() as nursery:
             for _ in range(count):
                 rng = random.Random(self.rng.getrandbits(64))
                 nursery.start_soon(Caller(self, rng).run)
 
 
-def caller_timeout(variant: Variant) -> float:
-    """Return the seconds for which callers wait for a response."""
-    if variant.freezes_entries:
-        return IMPATIENT_CALLER_TIMEOUT_SECONDS
-    if variant.delays_orders:
-        return PATIENT_CALLER_TIMEOUT_SECONDS
-    return CALLER_TIMEOUT_SECONDS
-
-
 class Caller:
     """One caller, which uses the same entry as long as its connection is open."""
 
     def __init__(self, callers: Callers, rng: random.Random):
         self.callers = callers
-        self.timeout = callers.timeout
+        self.habits = callers.habits
         self.records = callers.records
         self.rng = rng
         self.entry = ""
@@ -121,19 +137,21 @@
         while not self.callers.stopping:
             await trio.sleep(self.rng.uniform(*SUBMIT_INTERVAL_SECONDS))
             await self._submit_job(next(self.callers.numbers))
-            if self.callers.reconnects and self.rng.random() < RECONNECT_SHARE:
+            share = self.habits.reconnect_share
+            if share and self.rng.random() < share:
                 await self._disconnect()
         await self._disconnect()
 
     async def _submit_job(self, number: int) -> None:
-        work = self.rng.choice(self.callers.task_seconds)
-        tasks = self.rng.randint(1, self.callers.max_tasks)
-        request = make_job(number, work, tasks, caller_ms=int(self.timeout * 1000))
+        work = self.rng.choice(self.habits.task_seconds)
+        tasks = self.rng.randint(1, self.habits.max_tasks)
+        caller_ms = int(self.habits.timeout * 1000)
+        request = make_job(number, work, tasks, caller_ms=caller_ms)
         job = request.target.rpartition("/")[2]
         self.records.tasks[job] = tasks
         for _ in range(MAX_ATTEMPTS):
             outcome = await self._attempt(job, request)
-            if outcome not in self.callers.retried_outcomes:
+            if outcome not in self.habits.retried_outcomes:
                 return
             await trio.sleep(RESEND_SECONDS)
 
@@ -141,7 +159,7 @@
         if self.client is None or not self.client.idle:
             await self._choose_entry()
         sent_at = trio.current_time()
-        answer = await self.client.request(request, self.timeout + 1.0)
+        answer = await self.client.request(request, self.habits.timeout + 1.0)
         outcome, status = classify_response(answer)
         self.last_outcome = outcome
         if outcome not in (
--- a/bergamotcourse/tests/platform/soak/run.py
+++ b/bergamotcourse/tests/platform/soak/run.py
@@ -19,10 +19,6 @@
 )
 from bergamotcourse.transport.http import HttpRequest
 
-CALLERS_PER_ENTRY = 4
-IMPATIENT_CALLERS_PER_ENTRY = 16
-"""Few of the requests that wait at a paused entry show a fault as it wakes."""
-
 ZONES = ("north", "south")
 
 RECOVERY_SECONDS = 90.0
@@ -82,10 +78,7 @@
         names = [node.name for node in cluster.entries()]
         nursery.start_soon(record_stalls, records, names)
         async with trio.open_nursery() as calling:
-            per_entry = CALLERS_PER_ENTRY
-            if variant.freezes_entries:
-                per_entry = IMPATIENT_CALLERS_PER_ENTRY
-            calling.start_soon(callers.run, per_entry * variant.entries)
+            calling.start_soon(callers.run)
             await Faults(cluster, records, rng, variant).run(seconds)
             late = await find_stale_configurations(cluster)
             late += await wait_for_recovery(cluster, records)
--- a/bergamotcourse/tests/platform/soak/test_soak.py
+++ b/bergamotcourse/tests/platform/soak/test_soak.py
@@ -15,6 +15,13 @@
 """Seeds that once found a fault, with its cause."""
 
 
+def assert_no_violations(seed, seconds, folder, variant, fault):
+    """Run a soak in which a fault occurs, and check that no guarantee is violated."""
+    result = trio.run(run_soak, seed, seconds, folder, variant)
+    assert result.summary["faults"][fault]
+    assert result.violations == []
+
+
 class TestSoak:
     @pytest.mark.parametrize("seed", [1, *FAULTY])
     def test_no_violations_under_random_faults(self, seed, tmp_path):
@@ -23,9 +30,8 @@
 
     @pytest.mark.parametrize("seed", [4])
     def test_no_violations_while_zones_are_evacuated(self, seed, tmp_path):
-        result = trio.run(run_soak, seed, 10.0, tmp_path, Variant(evacuates=True))
-        assert result.summary["faults"]["evacuate"]
-        assert result.violations == []
+        variant = Variant(evacuates=True)
+        assert_no_violations(seed, 10.0, tmp_path, variant, "evacuate")
 
     @pytest.mark.parametrize("seed", [2, 3])
     def test_no_violations_when_workers_restart_under_same_id(self, seed, tmp_path):
@@ -34,42 +40,32 @@
 
     @pytest.mark.parametrize("seed", [12])
     def test_no_violations_while_connections_are_black_holed(self, seed, tmp_path):
-        result = trio.run(run_soak, seed, 8.0, tmp_path, Variant(deafens=True))
-        assert result.summary["faults"]["deafen"]
-        assert result.violations == []
+        variant = Variant(deafens=True)
+        assert_no_violations(seed, 8.0, tmp_path, variant, "deafen")
 
     @pytest.mark.parametrize("seed", [1])
     def test_no_violations_while_workers_leave_at_short_notice(self, seed, tmp_path):
         variant = Variant(announces_leaving=True)
-        result = trio.run(run_soak, seed, 10.0, tmp_path, variant)
-        assert result.summary["faults"]["announce_leaving"]
-        assert result.violations == []
+        assert_no_violations(seed, 10.0, tmp_path, variant, "announce_leaving")
 
     @pytest.mark.parametrize("seed", [1, 2])
     def test_no_violations_when_entries_and_agents_are_killed_together(
         self, seed, tmp_path
     ):
         variant = Variant(kills_together=True)
-        result = trio.run(run_soak, seed, 6.0, tmp_path, variant)
-        assert result.summary["faults"]["kill_together"]
-        assert result.violations == []
+        assert_no_violations(seed, 6.0, tmp_path, variant, "kill_together")
 
     @pytest.mark.parametrize("seed", [1, 2])
     def test_no_violations_when_entries_wake_after_callers_left(self, seed, tmp_path):
         variant = Variant(freezes_entries=True)
-        result = trio.run(run_soak, seed, 8.0, tmp_path, variant)
-        assert result.summary["faults"]["freeze_entry"]
-        assert result.violations == []
+        assert_no_violations(seed, 8.0, tmp_path, variant, "freeze_entry")
 
     @pytest.mark.parametrize("seed", [1, 3])
     def test_no_violations_when_agents_receive_late_reports(self, seed, tmp_path):
         variant = Variant(misreports=True)
-        result = trio.run(run_soak, seed, 6.0, tmp_path, variant)
-        assert result.summary["faults"]["misreport"]
-        assert result.violations == []
+        assert_no_violations(seed, 6.0, tmp_path, variant, "misreport")
 
     @pytest.mark.parametrize("seed", [1306])
     def test_no_violations_while_workers_delay_orders(self, seed, tmp_path):
-        result = trio.run(run_soak, seed, 10.0, tmp_path, Variant(delays_orders=True))
-        assert result.summary["faults"]["delay_orders"]
-        assert result.violations == []
+        variant = Variant(delays_orders=True)
+        assert_no_violations(seed, 10.0, tmp_path, variant, "delay_orders")
