Log each second what an entry did and where work waited at it

An overloaded entry logged the delay of its messages and the lag of its timers. Neither tells whether messages wait for the processor of the entry, for its link or at the agents, which the hypotheses about the zone that was refused after a burst differ in.

`entry.load` has for each second the longest lag, the longest time in which there was always a payload to receive, the delay of agents' messages on the way in, what was received and sent, and what is not sent or not acknowledged. The delay on the way in is the time in transit of a message above the shortest of its process, so that no clocks are compared.

--- a/bergamotcourse/coordination/jobs/agent_link.py
+++ b/bergamotcourse/coordination/jobs/agent_link.py
@@ -7,6 +7,7 @@
 withdraw the run with the certainty that it has not started.
 """
 
+import math
 from dataclasses import dataclass, field
 from typing import Any
 
@@ -72,6 +73,8 @@
         former_boot_runs: Runs that were placed at an earlier process of the agent.
         last_request: Job whose payload was last sent to the agent in this session.
         last_payload: That payload. A job may come again with another one.
+        least_transit_ms: Shortest time in transit of a message of the agent's process,
+            plus the unknown difference between the two clocks.
     """
 
     address: LinkAddress
@@ -104,6 +107,7 @@
     former_boot_runs: set[RunKey] = field(default_factory=set)
     last_request: str = ""
     last_payload: str | None = None
+    least_transit_ms: float = math.inf
 
     # Whether runs may be placed.
 
@@ -237,6 +241,12 @@
         """Return the milliseconds since the message arrived that is echoed."""
         return round(1000 * (now - self.echo_received_at)) if self.echo_ms else 0
 
+    def inbound_delay_ms(self, sent_ms: int, lease_now: float) -> int:
+        """Return by how much longer a message took than the fastest of its process."""
+        transit = lease_now * 1000 - sent_ms
+        self.least_transit_ms = min(self.least_transit_ms, transit)
+        return round(transit - self.least_transit_ms)
+
     def receive_turn(self, turn: AgentTurn, now: float) -> list[TaskEnded]:
         """Handle a message of the current session and return the outcomes new to it."""
         self.last_received_at = now
@@ -283,6 +293,7 @@
         """
         if boot != self.boot:
             self.former_boot_runs = set(self.placed)
+            self.least_transit_ms = math.inf
         self.boot = boot
         self.session = session
         self.echo_ms = 0
--- a/bergamotcourse/coordination/jobs/agent_links.py
+++ b/bergamotcourse/coordination/jobs/agent_links.py
@@ -3,6 +3,7 @@
 import itertools
 from collections.abc import Callable, Iterator
 from dataclasses import dataclass, field
+from statistics import median_low
 from typing import Any
 
 import trio
@@ -112,6 +113,8 @@
         is_waiting: Returns whether the entry has tasks that find no free capacity.
         pauses: The latest pause of this process.
         send_window: Limit of what is in flight to all agents.
+        inbound_delays: Delays of the messages of agents since they were last taken, in
+            milliseconds.
     """
 
     def __init__(
@@ -143,6 +146,7 @@
         self.send_coalescer = SendCoalescer(self._send_to)
         self.send_window = SendWindow()
         self.pauses = PauseDetector(timers, MIN_PAUSE_SECONDS)
+        self.inbound_delays: list[int] = []
 
     async def run(self) -> None:
         """Send due messages until cancelled."""
@@ -212,9 +216,9 @@
     def may_send(self) -> bool:
         """Return whether the send window allows another placement."""
         window = self.send_window
-        return not window.is_limited or window.has_room(self._in_flight_bytes())
+        return not window.is_limited or window.has_room(self.in_flight_bytes())
 
-    def _in_flight_bytes(self) -> int:
+    def in_flight_bytes(self) -> int:
         """Return the bytes without an acknowledgement, at the agents in contact.
 
         Other agents may never acknowledge what was sent to them.
@@ -230,7 +234,7 @@
         window = self.send_window
         former_bytes = window.limit_bytes
         now = self.timers.now()
-        window.record(round_trip, acknowledged_bytes, self._in_flight_bytes, now)
+        window.record(round_trip, acknowledged_bytes, self.in_flight_bytes, now)
         if window.limit_bytes < former_bytes:
             self.log.write(
                 "send_window.reduced",
@@ -238,6 +242,11 @@
                 delay_ms=round(1000 * window.delay_seconds(now)),
             )
 
+    def take_inbound_delay_ms(self) -> int:
+        """Return the median delay of messages on the way in since the last call."""
+        delays, self.inbound_delays = self.inbound_delays, []
+        return median_low(delays) if delays else 0
+
     def place(
         self, link: AgentLink, order: PlaceTask, needs: Resources, owner: Any
     ) -> None:
@@ -285,6 +294,7 @@
         link.heard_at = lease_now
         unacknowledged_bytes = link.outgoing.size_bytes
         new_outcomes = link.receive_turn(turn, self.timers.now())
+        self.inbound_delays.append(link.inbound_delay_ms(turn.sent_ms, lease_now))
         if turn.round_trip_ms:
             link.round_trip_seconds = turn.round_trip_ms / 1000
             acknowledged_bytes = unacknowledged_bytes - link.outgoing.size_bytes
--- a/bergamotcourse/coordination/jobs/processor_lag.py
+++ b/bergamotcourse/coordination/jobs/processor_lag.py
@@ -11,6 +11,7 @@
 import random
 import time
 from collections.abc import Callable
+from dataclasses import dataclass
 
 from bergamotcourse.coordination.event_log import EventLog
 from bergamotcourse.coordination.timers import JITTER_SHARE, Timers
@@ -38,6 +39,19 @@
 of processor time has had about a tenth of it."""
 
 
+@dataclass
+class LagPeaks:
+    """The largest values of a period.
+
+    Attributes:
+        lag: Lateness of a measurement in seconds, also after a pause.
+        backlog: Time in seconds for which payloads were to be received without a break.
+    """
+
+    lag: float = 0.0
+    backlog: float = 0.0
+
+
 class ProcessorLag:
     """Measures by how much a periodic call is late.
 
@@ -51,6 +65,9 @@
         shedding_since: Since when jobs have been rejected without a break; ``None`` if
             they are not rejected now.
         last_shed_at: When a measurement last found that jobs must be rejected.
+        backlog_seconds: Returns for how long there have been payloads to receive
+            without a break.
+        peaks: The largest values since they were last taken.
     """
 
     def __init__(
@@ -72,6 +89,8 @@
         self.shed_share = 0.0
         self.shedding_since: float | None = None
         self.last_shed_at = -math.inf
+        self.backlog_seconds: Callable[[], float] = lambda: 0.0
+        self.peaks = LagPeaks()
         timers.every(MEASUREMENT_INTERVAL_SECONDS, "processor lag", self.measure_lag)
 
     def should_reject_job(self) -> bool:
@@ -82,6 +101,11 @@
             and self.rng.random() < self.shed_share
         )
 
+    def take_peaks(self) -> LagPeaks:
+        """Return the largest values since the last call."""
+        peaks, self.peaks = self.peaks, LagPeaks()
+        return peaks
+
     async def measure_lag(self) -> None:
         """Measure how late this call is, and update the share of jobs to reject."""
         now = self.timers.now()
@@ -92,6 +116,8 @@
         paused = cpu_seconds - self.last_cpu_seconds < late * PAUSED_CPU_SHARE
         self.last_cpu_seconds = cpu_seconds
         self.lag = 0.0 if paused else late
+        self.peaks.lag = max(self.peaks.lag, late)
+        self.peaks.backlog = max(self.peaks.backlog, self.backlog_seconds())
         was_short = self.shed_share > 0
         self.shed_share = shed_share_at(self.lag)
         if (self.shed_share > 0) != was_short:
--- a/bergamotcourse/daemons/job_entry.py
+++ b/bergamotcourse/daemons/job_entry.py
@@ -18,6 +18,7 @@
 )
 from bergamotcourse.daemons.caller_balancing import CallerBalancing
 from bergamotcourse.daemons.job_process import Node, job_http_server, link_address
+from bergamotcourse.daemons.load_samples import LoadSamples
 from bergamotcourse.daemons.process import serve_http
 from bergamotcourse.ids import LinkAddress
 from bergamotcourse.protocol.message import Message
@@ -99,6 +100,16 @@
         )
         self.balancing.enabled = node.policy.balances_callers
         self.balancing.cores = node.settings.cores
+        processor.backlog_seconds = node.mailer.link.backlog_seconds
+        self.load = LoadSamples(
+            self.links,
+            self.jobs,
+            processor,
+            self.server,
+            node.mailer,
+            node.timers,
+            node.log,
+        )
         self.rows = EntryRows(node.store, node.rng, node.log)
         node.mailer.handler = self.handle
 
--- a/bergamotcourse/tests/transport/test_datagram_link.py
+++ b/bergamotcourse/tests/transport/test_datagram_link.py
@@ -163,3 +163,22 @@
         link.next_number = datagram_link.PAYLOAD_NUMBERS - 1
         link._datagrams(b"x")
         assert link.next_number == 0
+
+
+class TestBacklog:
+    """Payloads that wait to be received, which other tasks must not hold up."""
+
+    def test_backlog_lasts_until_nothing_is_left_to_receive(self):
+        async def scenario():
+            async with opened() as a, opened() as b:
+                await a.send(b.address, b"x")
+                await a.send(b.address, b"x")
+                await b.receive()
+                began_at = b.receive_budget.backlog_since
+                await b.receive()
+                assert b.receive_budget.backlog_since == began_at
+                with trio.move_on_after(0.01):
+                    await b.receive()
+                assert b.backlog_seconds() == 0
+
+        trio.run(scenario)
--- a/bergamotcourse/transport/datagram_link.py
+++ b/bergamotcourse/transport/datagram_link.py
@@ -173,6 +173,10 @@
             self.receive_budget.reset()
             await trio.lowlevel.wait_readable(self.socket)
 
+    def backlog_seconds(self) -> float:
+        """Return for how long there have been payloads to receive without a break."""
+        return self.receive_budget.backlog_seconds(trio.current_time())
+
     def forget(self, peer: LinkAddress) -> None:
         """Drop the parsed address of a peer; no other resource is held for it."""
         self.peers.pop(peer, None)
--- a/bergamotcourse/transport/receive_turns.py
+++ b/bergamotcourse/transport/receive_turns.py
@@ -11,13 +11,26 @@
 
     Attributes:
         spent: Payloads received since the task last yielded.
+        backlog_since: Since when the link has received without having to wait; ``None``
+            while it waits for a payload.
     """
 
     def __init__(self):
         self.spent = 0
+        self.backlog_since: float | None = None
+
+    def backlog_seconds(self, now: float) -> float:
+        """Return for how long there has been a payload to receive without a break.
+
+        The time that payloads wait to be received does not show in how late timers
+        are: the other tasks run between two turns of the receiver.
+        """
+        return 0.0 if self.backlog_since is None else now - self.backlog_since
 
     async def spend(self) -> None:
         """Count one payload; yield to other tasks if the budget is used up."""
+        if self.backlog_since is None:
+            self.backlog_since = trio.current_time()
         self.spent += 1
         if self.spent < RECEIVES_PER_YIELD:
             await trio.lowlevel.checkpoint_if_cancelled()
@@ -28,3 +41,4 @@
     def reset(self) -> None:
         """Restore the whole budget: the task is about to wait, which yields anyway."""
         self.spent = 0
+        self.backlog_since = None
