Model the processor time of entries on the virtual clock

On the virtual clock the work of a process took no time, so no replay could show what an entry does that lacks processor time. With `entry_cores` in a load, what an entry receives, sends, admits and rejects, and each placement round, takes time in passes of an event loop: timers are late by the length of a pass, and a link receives in a pass what its budget allows, as the real links do.

--- a/bergamotcourse/bench/replay/load_file.py
+++ b/bergamotcourse/bench/replay/load_file.py
@@ -155,6 +155,8 @@
             takes precedence over ``slowest``.
         link_mbps: Bandwidth of each entry's link in each direction, in Mbit/s;
             0 means no limit.
+        entry_cores: Processor time of each entry, in cores; 0 if its work takes no
+            time.
         returns: Share of the refused callers that submit a new job after
             ``Retry-After``.
     """
@@ -169,6 +171,7 @@
     slowest: Positive = 1.0
     speeds: list[Positive] = []
     link_mbps: Rate = 0.0
+    entry_cores: Rate = 0.0
     spread: Seconds = 0.44
     error: Share = 0.2
     returns: Share = 0.0
--- a/bergamotcourse/bench/replay/run.py
+++ b/bergamotcourse/bench/replay/run.py
@@ -3,6 +3,7 @@
 import itertools
 import math
 import random
+from dataclasses import asdict
 
 import trio
 from msgspec import structs
@@ -23,6 +24,7 @@
 )
 from bergamotcourse.state.resources import Resources
 from bergamotcourse.virtual.clock import run_virtual
+from bergamotcourse.virtual.event_loop import WorkCosts
 from bergamotcourse.virtual.job_fleet import CAPACITY, QUEUE, JobFleet
 
 CALLER_TIMEOUT_SECONDS = 6.0
@@ -41,6 +43,11 @@
 
 BYTES_PER_MBIT = 125_000
 
+CORE_SECONDS = WorkCosts(
+    receive=0.0003, send=0.0002, place=0.0013, submit=0.001, reject=0.0005
+)
+"""Seconds of a core that the work of an entry takes."""
+
 
 class Callers:
     """Submits the jobs of a load.
@@ -203,6 +210,7 @@
         async with trio.open_nursery() as nursery:
             fleet = JobFleet(nursery, load.entries, load.agents, seed, policy)
             fleet.work_of = make_work_sampler(load, random.Random(seed))
+            fleet.entry_costs = entry_costs(load)
             if load.link_mbps:
                 fleet.limit_links(load.link_mbps * BYTES_PER_MBIT)
             await fleet.start()
@@ -215,6 +223,18 @@
     return run_virtual(main, seed)
 
 
+def entry_costs(load: Load) -> WorkCosts | None:
+    """Return what the work of an entry costs; ``None`` if it takes no time."""
+    if not load.entry_cores:
+        return None
+    return WorkCosts(
+        **{
+            work: seconds / load.entry_cores
+            for work, seconds in asdict(CORE_SECONDS).items()
+        }
+    )
+
+
 def set_upstream_speeds(fleet: JobFleet, load: Load) -> None:
     """Set the slowness of each upstream, also for its later lives."""
     for index, (agent, upstream) in enumerate(fleet.upstreams.items()):
--- a/bergamotcourse/transport/memory_link.py
+++ b/bergamotcourse/transport/memory_link.py
@@ -230,9 +230,17 @@
     async def receive(self) -> bytes:
         """Return the next payload received from any peer."""
         await trio.lowlevel.checkpoint()
+        await self.wait_ready()
+        return self.pop()
+
+    async def wait_ready(self) -> None:
+        """Wait until a payload has arrived."""
         while not self._is_ready():
             with trio.move_on_at(self._next_due()):
                 await self.inbox_changed.park()
+
+    def pop(self) -> bytes:
+        """Remove and return the payload that has arrived first."""
         return heapq.heappop(self.inbox).payload
 
     def forget(self, peer: LinkAddress) -> None:
--- a/bergamotcourse/transport/receive_turns.py
+++ b/bergamotcourse/transport/receive_turns.py
@@ -27,6 +27,11 @@
         """
         return 0.0 if self.backlog_since is None else now - self.backlog_since
 
+    @property
+    def has_yielded(self) -> bool:
+        """Return whether the last call of ``spend`` has yielded to other tasks."""
+        return self.spent == 0
+
     async def spend(self) -> None:
         """Count one payload; yield to other tasks if the budget is used up."""
         if self.backlog_since is None:
--- a/bergamotcourse/virtual/job_fleet.py
+++ b/bergamotcourse/virtual/job_fleet.py
@@ -13,7 +13,9 @@
 from bergamotcourse.coordination.jobs.executor import Executor
 from bergamotcourse.coordination.jobs.job_dispatcher import JobDispatcher
 from bergamotcourse.coordination.jobs.job_run import JobOutcome
+from bergamotcourse.coordination.jobs.job_service import OVERLOAD_RETRY_SECONDS
 from bergamotcourse.coordination.jobs.policy import JobPolicy
+from bergamotcourse.coordination.jobs.processor_lag import ProcessorLag
 from bergamotcourse.ids import LinkAddress, ServiceName, ZoneName
 from bergamotcourse.protocol.mailer import Mailer
 from bergamotcourse.protocol.task_messages import AgentTurn, Farewell
@@ -34,7 +36,13 @@
 )
 from bergamotcourse.state.resources import Resources
 from bergamotcourse.transport.bottleneck import Bottleneck
-from bergamotcourse.transport.memory_link import MemoryNetwork
+from bergamotcourse.transport.memory_link import MemoryLink, MemoryNetwork
+from bergamotcourse.virtual.event_loop import (
+    EventLoop,
+    EventLoopLink,
+    EventLoopTimers,
+    WorkCosts,
+)
 from bergamotcourse.virtual.pause import Pause, VirtualTimers
 
 SERVICE = ServiceName("voting")
@@ -131,12 +139,20 @@
         self.name = name
         self.address = LinkAddress(f"tcp://{name}")
         self.pause = Pause()
-        rng = fleet.make_rng()
-        self.timers = VirtualTimers(rng, self.pause)
-        self.mailer = Mailer(fleet.network.link(self.address), rng=rng)
+        self.rng = fleet.make_rng()
+        self.timers = self.make_timers()
+        self.mailer = Mailer(self.make_link(), rng=self.rng)
         self.scope = trio.CancelScope()
         self.log = EventLog(self._note)
 
+    def make_timers(self) -> VirtualTimers:
+        """Return the timers of the process."""
+        return VirtualTimers(self.rng, self.pause)
+
+    def make_link(self) -> MemoryLink:
+        """Return the link of the process."""
+        return self.fleet.network.link(self.address)
+
     def _note(self, kind: str, fields: dict) -> None:
         self.fleet.events.append((trio.current_time(), self.name, kind, fields))
 
@@ -225,11 +241,43 @@
         return PausablePort(port, self.pause)
 
 
+class EventLoopDispatcher(JobDispatcher):
+    """A dispatcher whose placement rounds take processor time.
+
+    Attributes:
+        loop: The event loop; ``None`` if they take no time.
+    """
+
+    def __init__(self, loop: EventLoop | None, *args):
+        super().__init__(*args)
+        self.loop = loop
+
+    def place_waiting_jobs(self) -> None:
+        """Place waiting jobs."""
+        if self.loop is not None and self.waiting:
+            self.loop.spend(self.loop.costs.place)
+        super().place_waiting_jobs()
+
+
 class EntryProcess(Process):
-    """An entry process."""
+    """An entry process.
+
+    Attributes:
+        loop: Its event loop; ``None`` if its work takes no time.
+        processor: Its lack of processor time.
+    """
 
     def __init__(self, fleet: "JobFleet", name: str):
+        self.loop = fleet.entry_costs and EventLoop(fleet.entry_costs)
         super().__init__(fleet, name)
+        if self.loop is not None:
+            self.processor = ProcessorLag(
+                self.timers,
+                self.log,
+                self.rng,
+                lambda: self.loop.used_seconds,
+                fleet.policy.turns_away_when_short,
+            )
         self.zones = EvacuatedZones(self.log)
         self.links = AgentLinks(
             name,
@@ -241,7 +289,8 @@
             self.zones,
         )
         self.links.entries = lambda: [one.address for one in fleet.entries.values()]
-        self.jobs = JobDispatcher(
+        self.jobs = EventLoopDispatcher(
+            self.loop,
             "zone-1",
             self.links,
             self.timers,
@@ -253,9 +302,37 @@
         self.mailer.handler = self._handle
         self.zones.on_change = self.jobs.handle_evacuations
 
+    def make_timers(self) -> VirtualTimers:
+        """Return the timers of the process."""
+        if self.loop is None:
+            return super().make_timers()
+        return EventLoopTimers(self.rng, self.pause, self.loop)
+
+    def make_link(self) -> MemoryLink:
+        """Return the link of the process."""
+        if self.loop is None:
+            return super().make_link()
+        return EventLoopLink(self.fleet.network, self.address, self.loop)
+
     async def run(self) -> None:
         """Run until killed."""
-        await self.serve(self.links.run)
+        mains = [self.links.run]
+        if self.loop is not None:
+            mains.append(self.loop.run)
+        await self.serve(*mains)
+
+    async def submit(
+        self, spec: JobSpec, queue: JobQueue, seconds: float
+    ) -> tuple[JobOutcome, float]:
+        """Run a job; return its outcome and when a refused caller may retry."""
+        if self.loop is not None:
+            await self.loop.next_pass()
+            if self.processor.should_reject_job():
+                self.loop.spend(self.loop.costs.reject)
+                return JobOutcome.REFUSED, OVERLOAD_RETRY_SECONDS
+            self.loop.spend(self.loop.costs.submit)
+        run = await self.jobs.submit(spec, queue, seconds)
+        return run.outcome, run.retry_after
 
     def _handle(self, sender, message) -> None:
         match message:
@@ -298,6 +375,7 @@
         process_counts: Number of entries and of agents at the start.
         slowness: By agent, the slowness of each new life of its upstream; 1 if it has
             none.
+        entry_costs: What the work of an entry costs; ``None`` if it takes no time.
     """
 
     def __init__(
@@ -331,6 +409,7 @@
         self.agents: dict[str, AgentProcess] = {}
         self.process_counts = (entries, agents)
         self.slowness: dict[str, float] = {}
+        self.entry_costs: WorkCosts | None = None
 
     def limit_links(self, bytes_per_second: float) -> None:
         """Limit the rate of all entries' links in each direction."""
@@ -479,8 +558,7 @@
         async def handle() -> None:
             try:
                 await process.pause.wait_until_thawed()
-                run = await process.jobs.submit(spec, queue, seconds)
-                answers.append((run.outcome, run.retry_after))
+                answers.append(await process.submit(spec, queue, seconds))
             finally:
                 done.set()
 
