Receive all that has arrived in each pass of the event loop

Callers of an entry with half a core were refused, "no room in time", for seconds after a burst had ended and while other entries had room.

Cause: the receiver of a link took 16 payloads in a pass of the event loop, and all connections of callers ran in between. With passes of 50 ms that is fewer payloads than the agents send. They waited up to 8 s in the socket's buffer while each pass, and so the lag by which jobs are rejected, stayed short. Echoes of such old messages renew no lease, so agents ended sessions and stopped runs.

The receiver now takes up to 256. That many take longer than the lag at which jobs are rejected, so a backlog that lasts shows as a lag: new jobs are rejected, cheaply, and callers are passed on to other entries, while messages about accepted work are read first.

--- a/bergamotcourse/transport/receive_turns.py
+++ b/bergamotcourse/transport/receive_turns.py
@@ -2,8 +2,10 @@
 
 import trio
 
-RECEIVES_PER_YIELD = 16
-"""Payloads received in a row before the task yields to others."""
+RECEIVES_PER_YIELD = 256
+"""Payloads received in a row before the task yields to others. So many take longer than
+the lag at which an entry rejects jobs. With fewer, payloads could wait for many passes
+of the event loop, each of which is too short to show as a lag."""
 
 
 class ReceiveBudget:
