Tell the backlog of every kind of link

Entries of tests run on links in memory, which had no backlog_seconds: 15 tests of test_caller_balancing.py failed since entries log their load.

--- a/bergamotcourse/transport/link.py
+++ b/bergamotcourse/transport/link.py
@@ -33,5 +33,8 @@
     async def receive(self) -> bytes:
         """Return the next payload received from any peer."""
 
+    def backlog_seconds(self) -> float:
+        """Return for how long there have been payloads to receive without a break."""
+
     def forget(self, peer: LinkAddress) -> None:
         """Release the resources held for a peer that is gone."""
--- a/bergamotcourse/transport/memory_link.py
+++ b/bergamotcourse/transport/memory_link.py
@@ -243,6 +243,10 @@
         """Remove and return the payload that has arrived first."""
         return heapq.heappop(self.inbox).payload
 
+    def backlog_seconds(self) -> float:
+        """Return 0: receiving takes no time."""
+        return 0.0
+
     def forget(self, peer: LinkAddress) -> None:
         """Do nothing: no resources are held for a peer."""
 
--- a/bergamotcourse/transport/nng_link.py
+++ b/bergamotcourse/transport/nng_link.py
@@ -173,6 +173,10 @@
             self.receive_budget.reset()
             await trio.lowlevel.wait_readable(self.receive_fd)
 
+    def backlog_seconds(self) -> float:
+        """Return for how long there have been payloads to receive without a break."""
+        return self.receive_budget.backlog_seconds(trio.current_time())
+
     def forget(self, peer: LinkAddress) -> None:
         """Close the socket to a peer; the payloads in its buffer are lost."""
         side = self.peers.pop(peer, None)
--- a/bergamotcourse/virtual/event_loop.py
+++ b/bergamotcourse/virtual/event_loop.py
@@ -71,10 +71,14 @@
         self.has_ready.set()
         await self.ready.park()
 
+    def now(self) -> float:
+        """Return the time at which the work that was begun so far is done."""
+        return max(self.busy_until, trio.current_time())
+
     def spend(self, seconds: float) -> None:
         """Do work that takes some seconds."""
         self.used_seconds += seconds
-        self.busy_until = max(self.busy_until, trio.current_time()) + seconds
+        self.busy_until = self.now() + seconds
 
 
 class EventLoopTimers(VirtualTimers):
@@ -119,3 +123,7 @@
             await self.loop.next_pass()
         self.loop.spend(self.loop.costs.receive)
         return self.pop()
+
+    def backlog_seconds(self) -> float:
+        """Return for how long there have been payloads to receive without a break."""
+        return self.receive_budget.backlog_seconds(trio.current_time())
