Limit placement rounds to a share of the time instead of one a pass

With one round in each pass of the event loop, every placement waited for a pass, also without any load, and rounds could still use most of the processor where each message comes in a pass of its own.

A round now runs at once, as before, unless the last ones took more than a fifth of the time. A round that has to wait is made up for with the next request or tick, 30 ms later at most.

--- a/bergamotcourse/coordination/jobs/job_dispatcher.py
+++ b/bergamotcourse/coordination/jobs/job_dispatcher.py
@@ -11,7 +11,6 @@
 from bergamotcourse.coordination.jobs.admission_forecast import AdmissionForecast
 from bergamotcourse.coordination.jobs.agent_link import AgentLink
 from bergamotcourse.coordination.jobs.agent_links import AgentLinks, PlacementCandidates
-from bergamotcourse.coordination.jobs.coalesced_call import CoalescedCall
 from bergamotcourse.coordination.jobs.job_order import (
     dispatch_order_key,
     immediate_refusal,
@@ -22,6 +21,7 @@
     TaskRun,
     TaskState,
 )
+from bergamotcourse.coordination.jobs.paced_call import PacedCall
 from bergamotcourse.coordination.jobs.placement import (
     PlacementRequest,
     can_accept_task,
@@ -81,8 +81,7 @@
         remote_factor: Run time of a task outside the rack with its data, as a multiple
             of its run time inside.
         forecast: Forecast of when waiting jobs are placed.
-        placement_round: Places waiting jobs once for all that requests it in a pass of
-            the event loop.
+        placement_round: Places waiting jobs when something may have made room.
     """
 
     def __init__(
@@ -116,22 +115,16 @@
         )
         links.on_run_ended = self.handle_run_outcome
         links.on_late_end = self.handle_late_end
-        self.placement_round = CoalescedCall(self.place_waiting_jobs)
+        # A round examines all waiting jobs and agents, and takes many times as long as
+        # the message or the job that requests it. One round for each of them would use
+        # up the processor as soon as jobs wait.
+        self.placement_round = PacedCall(self.place_waiting_jobs, timers.now)
         links.on_outcomes_reported = self.placement_round.request
         links.on_room_reported = self.handle_agent_load
         links.is_waiting = self.is_waiting
         links.on_tick = self.handle_tick
         links.on_contact_resumed = self.handle_contact_resumed
 
-    async def run(self) -> None:
-        """Run the requested placement rounds until cancelled.
-
-        A round examines all waiting jobs and agents, and takes many times as long as
-        the message or the job that requests it. One round for each of them would use up
-        the processor as soon as jobs wait.
-        """
-        await self.placement_round.run()
-
     def is_waiting(self) -> bool:
         """Return whether jobs have tasks that wait for room."""
         return bool(self.waiting)
@@ -232,11 +225,12 @@
         self.had_waiting_jobs = bool(self.waiting)
 
     def handle_tick(self) -> None:
-        """Update the forecast, and place the tasks whose delay has ended."""
+        """Update the forecast, and run the rounds that have been delayed."""
         now = self.timers.now()
         self.forecast.advance(self.had_waiting_jobs, now)
         self._update_overload(now)
         self.release_delayed_tasks()
+        self.placement_round.make_up()
 
     def release_delayed_tasks(self) -> None:
         """Place the tasks whose delay has ended."""
--- a/bergamotcourse/tests/jobs/test_late_ends.py
+++ b/bergamotcourse/tests/jobs/test_late_ends.py
@@ -23,13 +23,6 @@
     return next(iter(fleet.entries["entry-1"].links.links.values()))
 
 
-def admit(jobs, spec):
-    """Admit a job, and place its tasks at once."""
-    run = jobs._admit(spec, QUEUE, 5.0)
-    jobs.place_waiting_jobs()
-    return run
-
-
 def agents_running(fleet, number):
     """Return the agents whose upstreams run the given run of the task."""
     return [
@@ -251,7 +244,7 @@
             )
             spec = JobSpec(JobId("a"), str(WORK_SECONDS), steps)
             jobs = fleet.entries["entry-1"].jobs
-            run = admit(jobs, spec)
+            run = jobs._admit(spec, QUEUE, 5.0)
             run.finish(JobOutcome.TIMED_OUT)
             [task] = [task for task in run.tasks if task.name == TASK]
             link = agent_link(fleet)
@@ -288,7 +281,7 @@
 
         async def main(fleet):
             jobs = fleet.entries["entry-1"].jobs
-            run = admit(jobs, job("a", tasks=1, work=WORK_SECONDS))
+            run = jobs._admit(job("a", tasks=1, work=WORK_SECONDS), QUEUE, 5.0)
             [task] = run.tasks
             key = RunKey(TASK, task.number + 1)
             jobs.handle_late_end(agent_link(fleet), TaskEnded(key, RunOutcome.DONE))
@@ -302,7 +295,7 @@
 
         async def main(fleet):
             jobs = fleet.entries["entry-1"].jobs
-            run = admit(jobs, job("a", tasks=2, work=WORK_SECONDS))
+            run = jobs._admit(job("a", tasks=2, work=WORK_SECONDS), QUEUE, 5.0)
             link = agent_link(fleet)
             run.tasks[0].agents[1] = link.name
             for _ in range(2):
--- a/bergamotcourse/tests/jobs/test_placement_rounds.py
+++ b/bergamotcourse/tests/jobs/test_placement_rounds.py
@@ -1,50 +1,108 @@
 """Placement rounds, which examine all waiting jobs and agents."""
 
 import trio
-import trio.testing
 
+from bergamotcourse.coordination.jobs.paced_call import (
+    MAX_DELAY_SECONDS,
+    MAX_TIME_SHARE,
+    PacedCall,
+)
 from bergamotcourse.tests.jobs.fleets import run_fleet
 from bergamotcourse.virtual.job_fleet import job
 
-JOBS = 20
+
+class Work:
+    """Calls that take some seconds, by a clock that only these and the test advance.
+
+    Attributes:
+        calls: When each call began.
+    """
+
+    def __init__(self, seconds):
+        self.seconds = seconds
+        self.time = 0.0
+        self.calls = []
+        self.paced = PacedCall(self._work, lambda: self.time)
+
+    def _work(self):
+        self.calls.append(self.time)
+        self.time += self.seconds
+
+    def request_for(self, seconds, interval=0.001):
+        """Request a call again and again."""
+        while self.time < seconds:
+            self.paced.request()
+            self.time += interval
+
+
+class TestPacedCalls:
+    def test_calls_take_a_limited_share_of_the_time(self):
+        """Guards against a round for each message of an agent while jobs wait."""
+        work = Work(0.002)
+        work.request_for(1.0)
+        assert 0.1 < work.seconds * len(work.calls) <= MAX_TIME_SHARE + work.seconds
+
+    def test_no_call_is_delayed_for_long(self):
+        """Guards against a long delay after the process was paused in a call."""
+        work = Work(1.0)
+        work.request_for(4.0)
+        first, second, *_ = work.calls
+        assert 0 < second - first - work.seconds <= MAX_DELAY_SECONDS + 0.001
+
+    def test_request_that_comes_too_soon_is_made_up_for(self):
+        work = Work(0.002)
+        for _ in range(3):
+            work.paced.request()
+        assert len(work.calls) == 1
+        work.time += MAX_DELAY_SECONDS
+        for _ in range(3):
+            work.paced.make_up()
+        assert len(work.calls) == 2
+
+    def test_calls_without_cost_are_made_at_once(self):
+        work = Work(0.0)
+        for _ in range(5):
+            work.paced.request()
+        assert len(work.calls) == 5
 
 
 class TestRounds:
-    def count_rounds_of(self, act):
-        """Return how many rounds an act takes at an entry whose agents are full."""
+    def count_rounds(self, request):
+        """Return how many rounds follow each other at once while a round is due later.
+
+        Args:
+            request: Makes requests at an entry whose agents are full.
+        """
 
         async def main(fleet):
-            entry = fleet.entries["entry-1"]
+            jobs = fleet.entries["entry-1"].jobs
             async with trio.open_nursery() as nursery:
-                for number in range(JOBS):
+                for number in range(20):
                     one = job(f"running-{number}", tasks=2, work=2.0)
                     nursery.start_soon(fleet.submit, "entry-1", one)
                 await trio.sleep(0.1)
+                jobs.placement_round.due_at = trio.current_time() + 1.0
                 rounds = []
-                place = entry.jobs.placement_round.call
-                entry.jobs.placement_round.call = lambda: rounds.append(place())
-                act(fleet, entry, nursery)
-                await trio.testing.wait_all_tasks_blocked()
+                jobs.placement_round.call = lambda: rounds.append(None)
+                request(fleet, nursery)
+                await trio.sleep(0.001)
                 nursery.cancel_scope.cancel()
             return len(rounds)
 
         return run_fleet(main, entries=1, agents=4)
 
-    def test_jobs_of_one_pass_are_placed_in_one_round(self):
-        """Guards against a round for each job, which takes longer the more wait."""
-
-        def submit(fleet, entry, nursery):
-            for number in range(JOBS):
+    def test_arriving_jobs_start_no_rounds_out_of_turn(self):
+        def submit(fleet, nursery):
+            for number in range(20):
                 one = job(f"waiting-{number}", tasks=1, work=2.0)
                 nursery.start_soon(fleet.submit, "entry-1", one)
 
-        assert self.count_rounds_of(submit) == 1
-
-    def test_outcomes_of_one_pass_are_followed_by_one_round(self):
-        """Guards against a round for each message of an agent while jobs wait."""
+        assert self.count_rounds(submit) == 0
 
-        def report(fleet, entry, nursery):
-            for _ in fleet.agents:
-                entry.links.on_outcomes_reported()
+    def test_messages_of_agents_start_no_rounds_out_of_turn(self):
+        def report(fleet, nursery):
+            for agent in fleet.agents.values():
+                agent.contacts.notify_all_entries()
+            fleet.entries["entry-1"].links.on_outcomes_reported()
 
-        assert self.count_rounds_of(report) == 1
+        assert self.count_rounds(report) == 0
--- a/bergamotcourse/virtual/job_fleet.py
+++ b/bergamotcourse/virtual/job_fleet.py
@@ -251,6 +251,8 @@
     def __init__(self, loop: EventLoop | None, *args):
         super().__init__(*args)
         self.loop = loop
+        if loop is not None:
+            self.placement_round.now = loop.now
 
     def place_waiting_jobs(self) -> None:
         """Place waiting jobs."""
@@ -316,7 +318,7 @@
 
     async def run(self) -> None:
         """Run until killed."""
-        mains = [self.links.run, self.jobs.run]
+        mains = [self.links.run]
         if self.loop is not None:
             mains.append(self.loop.run)
         await self.serve(*mains)
