Soak entries that get little processor time

Besides the guarantees of all variants it is checked that the entry serves callers again from 3 s after the throttle on if other entries do.

--- a/bergamotcourse/tests/platform/soak/__main__.py
+++ b/bergamotcourse/tests/platform/soak/__main__.py
@@ -37,6 +37,7 @@
 @click.option(
     "--misreports", is_flag=True, help="Send agents late and incomplete reports."
 )
+@click.option("--throttles", is_flag=True, help="Give entries little processor time.")
 @click.option("--entries", default=2, help="Number of entries.")
 @click.option("--agents", default=3, help="Number of agents.")
 @click.option(
@@ -55,6 +56,7 @@
     kills_together: bool,
     freezes_entries: bool,
     misreports: bool,
+    throttles: bool,
     entries: int,
     agents: int,
     keep: Path | None,
@@ -73,6 +75,7 @@
             kills_together,
             freezes_entries,
             misreports,
+            throttles,
             entries,
             agents,
         )
--- a/bergamotcourse/tests/platform/soak/callers.py
+++ b/bergamotcourse/tests/platform/soak/callers.py
@@ -29,6 +29,7 @@
 MAX_ATTEMPTS = 3
 SUBMIT_INTERVAL_SECONDS = (0.0, 0.25)
 TASK_SECONDS = (0.05, 0.1, 0.2, 0.4, 1.0)
+SHORT_TASK_SECONDS = (0.05, 0.1, 0.2)
 LONG_TASK_SECONDS = (0.2, 1.0, 2.0)
 """Task lengths where entries are killed together with agents, or wake after callers
 have left. Short runs rarely overlap with those that a retry starts."""
@@ -52,6 +53,7 @@
         timeout: Seconds for which they wait for a response.
         retried_outcomes: Outcomes after which they submit a job again.
         reconnect_share: Share of the jobs after which they open a new connection.
+        refusal_pause: Seconds for which they wait after a refusal.
         max_tasks: Most tasks of a job.
         task_seconds: The lengths of tasks.
     """
@@ -60,6 +62,7 @@
     timeout: float = CALLER_TIMEOUT_SECONDS
     retried_outcomes: frozenset[CallerOutcome] = INTERRUPTED_OUTCOMES
     reconnect_share: float = 0.0
+    refusal_pause: float = 0.0
     max_tasks: int = 6
     task_seconds: tuple[float, ...] = TASK_SECONDS
 
@@ -78,10 +81,22 @@
 and few of the requests that wait show a fault as it wakes."""
 
 
+PRESSING = Habits(
+    per_entry=10,
+    refusal_pause=1.0,
+    max_tasks=3,
+    task_seconds=SHORT_TASK_SECONDS,
+)
+"""Habits where entries are throttled: more jobs than a throttled entry can place, and
+few enough for the process that all stand-ins share."""
+
+
 def habits_in(variant: Variant) -> Habits:
     """Return the habits of the callers in a variant of the soak."""
     if variant.freezes_entries:
         return IMPATIENT
+    if variant.throttles:
+        return PRESSING
     patient = PATIENT_CALLER_TIMEOUT_SECONDS
     return Habits(
         timeout=patient if variant.delays_orders else CALLER_TIMEOUT_SECONDS,
@@ -137,6 +152,8 @@
         while not self.callers.stopping:
             await trio.sleep(self.rng.uniform(*SUBMIT_INTERVAL_SECONDS))
             await self._submit_job(next(self.callers.numbers))
+            if self.last_outcome is CallerOutcome.REFUSED:
+                await trio.sleep(self.habits.refusal_pause)
             share = self.habits.reconnect_share
             if share and self.rng.random() < share:
                 await self._disconnect()
--- a/bergamotcourse/tests/platform/soak/faults.py
+++ b/bergamotcourse/tests/platform/soak/faults.py
@@ -16,6 +16,7 @@
     Evacuation,
     Records,
     StoreOutage,
+    Throttle,
     Variant,
 )
 from bergamotcourse.tests.platform.soak.verdict import MAX_LEAVING_DELAY_SECONDS
@@ -44,6 +45,11 @@
 SURVIVING_ENTRY_SHARE = 0.8
 """Share of the common kills of entries and agents that at least one entry survives."""
 
+THROTTLE_SECONDS = (2.0, 4.0)
+THROTTLE_PERIOD_SECONDS = 0.1
+THROTTLED_SHARE = (0.03, 0.15)
+"""Range of the share of the processor that a throttled entry gets in each period."""
+
 DROPPED_FIELDS = (1, 4)
 """Range of the number of fields that an incomplete report lacks."""
 
@@ -104,6 +110,8 @@
             self.kinds += (self._freeze_entry,) * EXTRA_VARIANT_WEIGHT
         if variant.misreports:
             self.kinds += (self._misreport,) * EXTRA_VARIANT_WEIGHT
+        if variant.throttles:
+            self.kinds += (self._throttle_entry,) * EXTRA_VARIANT_WEIGHT
         if variant.deafens:
             self.kinds += (self._deafen, self._configure)
 
@@ -207,6 +215,23 @@
             if node is not None:
                 await self._pause_node(node, rng, FREEZE_SECONDS)
 
+    async def _throttle_entry(self, rng: random.Random) -> None:
+        """Let an entry run for only a share of each period."""
+        async with self._reserve_process(rng, "entry") as node:
+            if node is None:
+                return
+            share = rng.uniform(*THROTTLED_SHARE)
+            begun_at = trio.current_time()
+            ends_at = begun_at + rng.uniform(*THROTTLE_SECONDS)
+            async with self._record_disruption(node.name):
+                while trio.current_time() < ends_at:
+                    node.send_signal(signal.SIGSTOP)
+                    await trio.sleep((1 - share) * THROTTLE_PERIOD_SECONDS)
+                    node.send_signal(signal.SIGCONT)
+                    await trio.sleep(share * THROTTLE_PERIOD_SECONDS)
+            throttle = Throttle(node.name, begun_at, trio.current_time())
+            self.records.throttles.append(throttle)
+
     async def _pause(self, rng: random.Random) -> None:
         async with self._reserve_process(rng) as node:
             if node is not None:
--- a/bergamotcourse/tests/platform/soak/records.py
+++ b/bergamotcourse/tests/platform/soak/records.py
@@ -66,6 +66,7 @@
             time, submit their jobs to other entries meanwhile.
         misreports: Agents receive late reports of crashed workers and incomplete ones
             of other programs, and workers restart at other addresses.
+        throttles: Entries get little processor time while many callers submit jobs.
         entries: Number of entries.
         agents: Number of agents.
     """
@@ -78,6 +79,7 @@
     kills_together: bool = False
     freezes_entries: bool = False
     misreports: bool = False
+    throttles: bool = False
     entries: int = 2
     agents: int = 3
 
@@ -102,6 +104,15 @@
     ended_at: float
 
 
+@dataclass(frozen=True)
+class Throttle:
+    """A period in which an entry got little processor time."""
+
+    entry: str
+    begun_at: float
+    ended_at: float
+
+
 @dataclass
 class Records:
     """Everything that a soak recorded."""
@@ -110,6 +121,7 @@
     outages: list[StoreOutage] = field(default_factory=list)
     attempts: list[Attempt] = field(default_factory=list)
     disruptions: list[Disruption] = field(default_factory=list)
+    throttles: list[Throttle] = field(default_factory=list)
     faults: dict[str, int] = field(default_factory=dict)
     tasks: dict[str, int] = field(default_factory=dict)
     """Number of tasks by job id."""
--- a/bergamotcourse/tests/platform/soak/test_soak.py
+++ b/bergamotcourse/tests/platform/soak/test_soak.py
@@ -65,6 +65,11 @@
         variant = Variant(misreports=True)
         assert_no_violations(seed, 6.0, tmp_path, variant, "misreport")
 
+    @pytest.mark.parametrize("seed", [1, 2])
+    def test_no_violations_when_entries_lack_processor_time(self, seed, tmp_path):
+        variant = Variant(throttles=True)
+        assert_no_violations(seed, 6.0, tmp_path, variant, "throttle_entry")
+
     @pytest.mark.parametrize("seed", [1306])
     def test_no_violations_while_workers_delay_orders(self, seed, tmp_path):
         variant = Variant(delays_orders=True)
--- a/bergamotcourse/tests/platform/soak/test_verdict.py
+++ b/bergamotcourse/tests/platform/soak/test_verdict.py
@@ -15,10 +15,13 @@
     Evacuation,
     Records,
     StoreOutage,
+    Throttle,
 )
 from bergamotcourse.tests.platform.soak.verdict import (
+    MIN_JUDGED_ATTEMPTS,
     find_abandoned_starts,
     find_false_returns,
+    find_lasting_overloads,
     find_violations,
 )
 
@@ -219,3 +222,34 @@
     def test_unexpected_status_is_reported(self):
         [line] = find_violations(make_records(CallerOutcome.UNEXPECTED_STATUS), [])
         assert line.startswith("status")
+
+
+class TestLastingOverloads:
+    """A throttle from 0 to 3 s; the attempts from 6 to 9 s are judged."""
+
+    def find(self, own, others, disruptions=()):
+        records = Records(disruptions=list(disruptions))
+        records.throttles.append(Throttle("entry-1", 0.0, 3.0))
+        for entry, outcome in (("entry-1", own), ("entry-2", others)):
+            for number in range(MIN_JUDGED_ATTEMPTS):
+                sent_at = 6.0 + number / 10
+                records.attempts.append(
+                    Attempt(JOB, entry, sent_at, sent_at + 0.1, outcome)
+                )
+        return find_lasting_overloads(records)
+
+    def test_entry_that_serves_nothing_while_others_serve_is_reported(self):
+        [line] = self.find(CallerOutcome.REFUSED, CallerOutcome.SUCCEEDED)
+        assert line.startswith("entry-1 served none")
+
+    def test_entry_that_serves_again_is_valid(self):
+        assert not self.find(CallerOutcome.SUCCEEDED, CallerOutcome.SUCCEEDED)
+
+    def test_refusals_by_all_entries_are_valid(self):
+        assert not self.find(CallerOutcome.REFUSED, CallerOutcome.REFUSED)
+
+    def test_another_fault_after_the_throttle_explains_refusals(self):
+        for entry, found in (("entry-1", 0), ("entry-2", 1)):
+            kill = Disruption(entry, 5.0, 10.0)
+            lines = self.find(CallerOutcome.REFUSED, CallerOutcome.SUCCEEDED, [kill])
+            assert len(lines) == found
--- a/bergamotcourse/tests/platform/soak/verdict.py
+++ b/bergamotcourse/tests/platform/soak/verdict.py
@@ -12,6 +12,7 @@
     Disruption,
     Evacuation,
     Records,
+    Throttle,
 )
 
 MAX_EVACUATION_DELAY_SECONDS = 5.0
@@ -25,6 +26,16 @@
 """Longest time from the end of a caller's connection until nothing starts for it, also
 if its entry is killed. Shorter than the delay after which callers resubmit a job."""
 
+OVERLOAD_RECOVERY_SECONDS = 3.0
+"""Time after the end of a throttle until the entry serves callers again."""
+
+OVERLOAD_JUDGED_SECONDS = 3.0
+"""Time after that in which it is judged whether the entry serves callers."""
+
+MIN_JUDGED_ATTEMPTS = 10
+"""Fewest attempts that show an overload, and fewest successes elsewhere that show that
+jobs could be served."""
+
 LEFT_OUTCOMES = (CallerOutcome.CUT, CallerOutcome.NO_RESPONSE)
 
 
@@ -41,6 +52,7 @@
         *find_evacuated_starts(records, history),
         *find_unexplained_failures(records, history),
         *find_unexpected_statuses(records.attempts),
+        *find_lasting_overloads(records),
     ]
 
 
@@ -226,6 +238,43 @@
     ]
 
 
+def find_lasting_overloads(records: Records) -> list[str]:
+    """Return the entries that served nothing after a throttle while others served."""
+    lines = []
+    for throttle in records.throttles:
+        begins = throttle.ended_at + OVERLOAD_RECOVERY_SECONDS
+        ends = begins + OVERLOAD_JUDGED_SECONDS
+        if is_disrupted_otherwise(records, throttle, ends):
+            continue
+        judged = [one for one in records.attempts if begins <= one.sent_at < ends]
+        own = [one for one in judged if one.entry == throttle.entry]
+        served = Counter(
+            one.entry for one in judged if one.outcome is CallerOutcome.SUCCEEDED
+        )
+        elsewhere = served.total() - served[throttle.entry]
+        if (
+            len(own) >= MIN_JUDGED_ATTEMPTS
+            and not served[throttle.entry]
+            and elsewhere >= MIN_JUDGED_ATTEMPTS
+        ):
+            lines.append(
+                f"{throttle.entry} served none of {len(own)} attempts "
+                f"{OVERLOAD_RECOVERY_SECONDS} s after a throttle, others {elsewhere}"
+            )
+    return lines
+
+
+def is_disrupted_otherwise(records: Records, throttle: Throttle, until: float) -> bool:
+    """Return whether another fault may affect the entry after a throttle."""
+    return any(
+        disruption.entry == throttle.entry
+        and disruption.begun_at != throttle.begun_at
+        and disruption.begun_at <= until
+        and disruption.ended_at >= throttle.ended_at
+        for disruption in records.disruptions
+    )
+
+
 def summarise(records: Records) -> dict[str, dict[str, int]]:
     """Return the counts of caller outcomes and of faults."""
     outcomes = Counter(one.outcome.value for one in records.attempts)
