Leave a placement round that comes too soon to the next pass

A round that is requested soon after another one now runs in the next pass, once for all requests until then. One that is requested later runs at once, as before, so rounds that take no time are never delayed.

--- a/bergamotcourse/coordination/jobs/job_dispatcher.py
+++ b/bergamotcourse/coordination/jobs/job_dispatcher.py
@@ -125,6 +125,10 @@
         links.on_tick = self.handle_tick
         links.on_contact_resumed = self.handle_contact_resumed
 
+    async def run(self) -> None:
+        """Run the delayed placement rounds until cancelled."""
+        await self.placement_round.run()
+
     def is_waiting(self) -> bool:
         """Return whether jobs have tasks that wait for room."""
         return bool(self.waiting)
@@ -225,12 +229,11 @@
         self.had_waiting_jobs = bool(self.waiting)
 
     def handle_tick(self) -> None:
-        """Update the forecast, and run the rounds that have been delayed."""
+        """Update the forecast, and place the tasks whose delay has ended."""
         now = self.timers.now()
         self.forecast.advance(self.had_waiting_jobs, now)
         self._update_overload(now)
         self.release_delayed_tasks()
-        self.placement_round.make_up()
 
     def release_delayed_tasks(self) -> None:
         """Place the tasks whose delay has ended."""
--- a/bergamotcourse/coordination/jobs/paced_call.py
+++ b/bergamotcourse/coordination/jobs/paced_call.py
@@ -2,45 +2,48 @@
 
 from collections.abc import Callable
 
-MAX_TIME_SHARE = 0.2
-"""Share of the time that the calls may take, unless that delays them too long."""
+import trio
 
-MAX_DELAY_SECONDS = 0.03
-"""Longest time between two calls. A pause of the process during a call would otherwise
-delay the next one by a multiple of the pause."""
+MAX_TIME_SHARE = 0.05
+"""Share of the time that calls may take which are made at once."""
 
 
 class PacedCall:
-    """Makes requested calls at once, or later if the last one took long.
+    """Makes requested calls at once, or in the next pass if the last one took long.
 
-    A request that comes too soon is answered with the next one. The owner calls
-    ``make_up`` periodically, in case that no other request comes.
+    All requests until that pass are answered by one call. The longer the passes of an
+    overloaded process, the smaller the share of the calls.
 
     Attributes:
         call: The function.
         now: Returns the time in seconds.
-        due_at: Time before which the function is not called again.
-        is_requested: Whether a request has not been answered yet.
+        due_at: Time from which on a requested call is made at once.
+        delayed: Set while a call is left to the next pass.
     """
 
     def __init__(self, call: Callable[[], None], now: Callable[[], float]):
         self.call = call
         self.now = now
         self.due_at = now()
-        self.is_requested = False
+        self.delayed = trio.Event()
 
     def request(self) -> None:
-        """Call the function, now or with a later request."""
-        self.is_requested = True
-        self.make_up()
-
-    def make_up(self) -> None:
-        """Call the function if a request has not been answered and a call is due."""
-        if not self.is_requested or self.now() < self.due_at:
-            return
-        self.is_requested = False
+        """Call the function now or in the next pass."""
+        if self.now() < self.due_at:
+            self.delayed.set()
+        else:
+            self._call()
+
+    async def run(self) -> None:
+        """Make the delayed calls until cancelled."""
+        while True:
+            await self.delayed.wait()
+            self._call()
+
+    def _call(self) -> None:
+        if self.delayed.is_set():
+            self.delayed = trio.Event()
         began_at = self.now()
         self.call()
         ended_at = self.now()
-        delay = (ended_at - began_at) * (1 / MAX_TIME_SHARE - 1)
-        self.due_at = ended_at + min(delay, MAX_DELAY_SECONDS)
+        self.due_at = ended_at + (ended_at - began_at) * (1 / MAX_TIME_SHARE - 1)
--- a/bergamotcourse/daemons/job_entry.py
+++ b/bergamotcourse/daemons/job_entry.py
@@ -127,6 +127,7 @@
             lambda: len(self.peers.peers),
         )
         nursery.start_soon(self.links.run)
+        nursery.start_soon(self.jobs.run)
         nursery.start_soon(self.peers.run)
         nursery.start_soon(feed.run)
         nursery.start_soon(self.rows.announce, node.address)
--- a/bergamotcourse/virtual/job_fleet.py
+++ b/bergamotcourse/virtual/job_fleet.py
@@ -320,7 +320,8 @@
         """Run until killed."""
         mains = [self.links.run]
         if self.loop is not None:
-            mains.append(self.loop.run)
+            # Without an event loop no placement round takes time, and none is delayed.
+            mains += [self.loop.run, self.jobs.run]
         await self.serve(*mains)
 
     async def submit(
