--- a/bergamotcourse/bench/replay/run.py
+++ b/bergamotcourse/bench/replay/run.py
@@ -46,7 +46,7 @@
 CORE_SECONDS = WorkCosts(
     receive=0.0003, send=0.0002, place=0.0013, submit=0.001, reject=0.0005
 )
-"""Seconds of a core that the work of an entry takes."""
+"""Seconds of a core that the work of an entry with some dozens of agents takes."""
 
 
 class Callers:
--- a/bergamotcourse/coordination/jobs/agent_links.py
+++ b/bergamotcourse/coordination/jobs/agent_links.py
@@ -1,6 +1,7 @@
 """An entry's links to all agents: candidates for placement and the runs placed."""
 
 import itertools
+from collections import deque
 from collections.abc import Callable, Iterator
 from dataclasses import dataclass, field
 from statistics import median_low
@@ -46,6 +47,9 @@
 AGENT_EVICTION_SECONDS = 30.0
 """Silence after which an agent is evicted."""
 
+MAX_DELAY_SAMPLES = 4096
+"""Most delays of messages that are kept for the next sample."""
+
 PROBES_PER_TICK = 2
 """Agents out of contact that an entry with waiting tasks probes for capacity in each
 tick: 70 a second, so that it knows the load of all nearby agents before a short job is
@@ -113,8 +117,8 @@
         is_waiting: Returns whether the entry has tasks that find no free capacity.
         pauses: The latest pause of this process.
         send_window: Limit of what is in flight to all agents.
-        inbound_delays: Delays of the messages of agents since they were last taken, in
-            milliseconds.
+        inbound_delays: Delays of the latest messages of agents, in milliseconds, since
+            they were last taken.
     """
 
     def __init__(
@@ -146,7 +150,7 @@
         self.send_coalescer = SendCoalescer(self._send_to)
         self.send_window = SendWindow()
         self.pauses = PauseDetector(timers, MIN_PAUSE_SECONDS)
-        self.inbound_delays: list[int] = []
+        self.inbound_delays: deque[int] = deque(maxlen=MAX_DELAY_SAMPLES)
 
     async def run(self) -> None:
         """Send due messages until cancelled."""
@@ -244,8 +248,9 @@
 
     def take_inbound_delay_ms(self) -> int:
         """Return the median delay of messages on the way in since the last call."""
-        delays, self.inbound_delays = self.inbound_delays, []
-        return median_low(delays) if delays else 0
+        delay = median_low(self.inbound_delays) if self.inbound_delays else 0
+        self.inbound_delays.clear()
+        return delay
 
     def place(
         self, link: AgentLink, order: PlaceTask, needs: Resources, owner: Any
--- a/bergamotcourse/coordination/jobs/paced_call.py
+++ b/bergamotcourse/coordination/jobs/paced_call.py
@@ -1,15 +1,15 @@
-"""Limits the share of its time that a process spends on one kind of work."""
+"""Limits how often a call is made that takes long, by passes of the event loop."""
 
 from collections.abc import Callable
 
 import trio
 
 MAX_TIME_SHARE = 0.05
-"""Share of the time that calls may take which are made at once."""
+"""Share of the time that the calls may take which are not left to the next pass."""
 
 
 class PacedCall:
-    """Makes requested calls at once, or in the next pass if the last one took long.
+    """Makes requested calls at once, or in the next pass soon after another one.
 
     All requests until that pass are answered by one call. The longer the passes of an
     overloaded process, the smaller the share of the calls.
--- a/bergamotcourse/daemons/job_entry.py
+++ b/bergamotcourse/daemons/job_entry.py
@@ -101,7 +101,7 @@
         self.balancing.enabled = node.policy.balances_callers
         self.balancing.cores = node.settings.cores
         processor.backlog_seconds = node.mailer.link.backlog_seconds
-        self.load = LoadSamples(
+        self.load_samples = LoadSamples(
             self.links,
             self.jobs,
             processor,
--- a/bergamotcourse/transport/receive_turns.py
+++ b/bergamotcourse/transport/receive_turns.py
@@ -30,8 +30,8 @@
         return 0.0 if self.backlog_since is None else now - self.backlog_since
 
     @property
-    def has_yielded(self) -> bool:
-        """Return whether the last call of ``spend`` has yielded to other tasks."""
+    def is_whole(self) -> bool:
+        """Return whether nothing was received since the task last yielded or waited."""
         return self.spent == 0
 
     async def spend(self) -> None:
--- a/bergamotcourse/virtual/event_loop.py
+++ b/bergamotcourse/virtual/event_loop.py
@@ -115,7 +115,7 @@
     async def receive(self) -> bytes:
         """Return the next payload received from any peer."""
         await self.receive_budget.spend()
-        if self.receive_budget.has_yielded:
+        if self.receive_budget.is_whole:
             await self.loop.next_pass()
         if not self._is_ready():
             self.receive_budget.reset()
