Count messages that wait unread as a lag instead of reading more in a pass

Suspected cause: with up to 256 messages in a pass, passes get longer, and a job takes several of them.

What was wrong is that an entry did not see how long messages wait. The time for which there has been a message to receive without a break now counts as a lag, so that jobs are rejected and callers passed on by it, and a pass reads 16 messages as before.

--- a/bergamotcourse/coordination/jobs/processor_lag.py
+++ b/bergamotcourse/coordination/jobs/processor_lag.py
@@ -44,7 +44,7 @@
     """The largest values of a period.
 
     Attributes:
-        lag: Lateness of a measurement in seconds, also after a pause.
+        lag: Lateness of a measurement in seconds, without the backlog.
         backlog: Time in seconds for which payloads were to be received without a break.
     """
 
@@ -53,14 +53,18 @@
 
 
 class ProcessorLag:
-    """Measures by how much a periodic call is late.
+    """Measures by how much a periodic call is late, and how long payloads wait.
+
+    A receiver takes few payloads in each pass of the event loop, so that payloads may
+    wait for many passes while each pass, and the lateness of a call, is short.
 
     Attributes:
         sheds_load: Whether jobs are rejected at all.
         process_cpu_seconds: Returns the processor time that this process has used.
         measured_at: When the lag was last measured.
         last_cpu_seconds: Processor time used as of the last measurement.
-        lag: Lateness of the latest measurement in seconds; 0 after a pause.
+        lag: Lateness of the latest measurement in seconds, or for how long there have
+            been payloads to receive, if that is longer; 0 after a pause.
         shed_share: Share of new jobs to reject.
         shedding_since: Since when jobs have been rejected without a break; ``None`` if
             they are not rejected now.
@@ -115,9 +119,10 @@
         late = max(0.0, now - due)
         paused = cpu_seconds - self.last_cpu_seconds < late * PAUSED_CPU_SHARE
         self.last_cpu_seconds = cpu_seconds
-        self.lag = 0.0 if paused else late
+        backlog = self.backlog_seconds()
+        self.lag = 0.0 if paused else max(late, backlog)
         self.peaks.lag = max(self.peaks.lag, late)
-        self.peaks.backlog = max(self.peaks.backlog, self.backlog_seconds())
+        self.peaks.backlog = max(self.peaks.backlog, backlog)
         was_short = self.shed_share > 0
         self.shed_share = shed_share_at(self.lag)
         if (self.shed_share > 0) != was_short:
--- a/bergamotcourse/tests/jobs/test_processor_lag.py
+++ b/bergamotcourse/tests/jobs/test_processor_lag.py
@@ -69,6 +69,21 @@
         assert tested.lag.shed_share == 0
         assert tested.kinds == []
 
+    def test_payloads_that_wait_unread_cause_rejections(self):
+        """Guards against an overload that no timer shows.
+
+        The messages of agents waited for seconds while each pass of the event loop, and
+        so the lateness of timers, was short.
+        """
+        tested = LagUnderTest()
+        tested.lag.backlog_seconds = lambda: MAX_SHEDDING_LAG_SECONDS
+        tested.measure_after(MEASUREMENT_INTERVAL_SECONDS)
+        assert tested.lag.shed_share == shed_share_at(MAX_SHEDDING_LAG_SECONDS)
+        assert tested.kinds == ["processor.short"]
+        tested.lag.backlog_seconds = lambda: 0.0
+        tested.measure_after(MEASUREMENT_INTERVAL_SECONDS)
+        assert tested.lag.shed_share == 0
+
     def test_punctual_measurement_ends_shedding(self):
         tested = LagUnderTest()
         for seconds in (0.2, 0.3, 0.02):
--- a/bergamotcourse/transport/receive_turns.py
+++ b/bergamotcourse/transport/receive_turns.py
@@ -2,10 +2,8 @@
 
 import trio
 
-RECEIVES_PER_YIELD = 256
-"""Payloads received in a row before the task yields to others. So many take longer than
-the lag at which an entry rejects jobs. With fewer, payloads could wait for many passes
-of the event loop, each of which is too short to show as a lag."""
+RECEIVES_PER_YIELD = 16
+"""Payloads received in a row before the task yields to others."""
 
 
 class ReceiveBudget:
--- a/bergamotcourse/virtual/job_fleet.py
+++ b/bergamotcourse/virtual/job_fleet.py
@@ -280,6 +280,7 @@
                 lambda: self.loop.used_seconds,
                 fleet.policy.turns_away_when_short,
             )
+            self.processor.backlog_seconds = self.mailer.link.backlog_seconds
         self.zones = EvacuatedZones(self.log)
         self.links = AgentLinks(
             name,
