Add a review case: tasks start on a worker without the required label

A script: one of two entries is frozen for 0.9 s, and meanwhile one of eight workers crashes and comes back as another kind. A placement names no label, so the agent cannot check it.

--- a/review/8/case.py
+++ b/review/8/case.py
@@ -1,50 +1,102 @@
-"""A client moves to another zone and cancels its job there."""
+"""A worker starts again as another kind while an entry is frozen."""
 
 import asyncio
-import time
+import itertools
+import signal
 
 from standins2.deployment import SERVICE, Deployment, main
-from standins2.worker import STOP_SECONDS, Worker
+from standins2.worker import Worker
 
-JOB = "00000000000000c3"
-CPU = 3100
+WORKERS = 8
+CPU = 4000
 COUNT = 4
-SECONDS = 8.0
+SECONDS = 0.1
+DEADLINE = 3.0
+CLIENTS = 24
+PAUSE_SECONDS = 0.02
+LABEL, OTHER_LABEL = "a", "b"
 
-CANCEL_SECONDS = 3.0
-"""``cancel_ms`` of the settings."""
+ROUNDS = 22
+FREEZE_SECONDS = 0.9
+CRASH_AFTER_SECONDS = 0.05
+DOWN_SECONDS = 0.45
+CALM_SECONDS = 1.2
 
 
 async def case(deployment: Deployment, trouble: bool) -> bool | None:
-    """Return whether the job's tasks ended in time after its cancelling."""
+    """Return whether each task started on a worker with the label that it requires."""
     note = deployment.record.note
-    deployment.zones = ("north", "south")
-    workers = [
-        Worker(f"i-{number}", SERVICE, "127.0.0.1", note, lambda _task: CPU)
-        for number in (1, 2)
-    ]
+    boots: list[Worker] = []
+
+    def boot(number: int, label: str) -> Worker:
+        worker = Worker(
+            f"i-{len(boots) + 1}",
+            SERVICE,
+            "127.0.0.1",
+            _ignore,
+            lambda _task: CPU,
+            labels=(label, f"r{number}"),
+        )
+        boots.append(worker)
+        return worker
+
+    workers = [boot(number, LABEL) for number in range(1, WORKERS + 1)]
     await deployment.start(entries=2, workers=workers)
-    in_north, in_south = deployment.entries
-    async with asyncio.TaskGroup() as tasks:
-        tasks.create_task(deployment.submit(in_north, JOB, SECONDS, CPU, COUNT))
-        await asyncio.sleep(1.0)
-        # New channels of a client lead to an entry of the zone that it is in.
-        answer = await deployment.cancel(in_south if trouble else in_north, JOB)
-        acknowledged_at = time.monotonic()
-    runs = [run for worker in workers for run in worker.runs]
-    is_acknowledged = answer is not None and answer.status in (200, 202, 204, 410)
-    if not runs or not is_acknowledged:
-        return None
-    limit = CANCEL_SECONDS + STOP_SECONDS
-    late = [
-        run
-        for run in runs
-        if (run.ended_at or time.monotonic()) - acknowledged_at > limit
+    ids = itertools.count(1)
+    clients = [
+        asyncio.create_task(submit_jobs(deployment, number, ids))
+        for number in range(CLIENTS)
     ]
-    for run in late:
-        seconds = run.ended_at - acknowledged_at
-        note(f"{run.name} was at work until {seconds:.3f} s after the acknowledgement")
-    return not late
+    entry = deployment.entries[0].process
+    for number in range(ROUNDS):
+        await asyncio.sleep(CALM_SECONDS)
+        if trouble:
+            entry.send_signal(signal.SIGSTOP)
+            note("entry-1 is frozen")
+        await asyncio.sleep(CRASH_AFTER_SECONDS)
+        await deployment.replace_crashed(0, boot(1, OTHER_LABEL), DOWN_SECONDS)
+        await asyncio.sleep(FREEZE_SECONDS - CRASH_AFTER_SECONDS - DOWN_SECONDS)
+        if trouble:
+            entry.send_signal(signal.SIGCONT)
+            note("entry-1 goes on")
+        await asyncio.sleep(CALM_SECONDS)
+        if number < ROUNDS - 1:
+            await deployment.replace_crashed(0, boot(1, LABEL), DOWN_SECONDS)
+    for client in clients:
+        client.cancel()
+    for worker in boots:
+        for run in worker.runs if LABEL not in worker.labels else ():
+            note(f"{run.name} started on {worker.id}, labels {worker.labels}")
+    wrong = sum(len(one.runs) for one in boots if LABEL not in one.labels)
+    rounds = sum(bool(one.runs) for one in boots if LABEL not in one.labels)
+    total = sum(len(one.runs) for one in boots)
+    note(f"{total} starts, {wrong} without the label, in {rounds} of {ROUNDS} rounds")
+    return wrong == 0 if total else None
+
+
+async def submit_jobs(
+    deployment: Deployment, number: int, ids: itertools.count
+) -> None:
+    """Submit one job after the other to an entry, until cancelled."""
+    # Most callers are those of the entry that is frozen.
+    entry = deployment.entries[number % 8 == 7]
+    while True:
+        job = f"{next(ids):016x}"
+        await deployment.submit(
+            entry,
+            job,
+            SECONDS,
+            CPU,
+            COUNT,
+            deadline=DEADLINE,
+            is_noted=False,
+            label=LABEL,
+        )
+        await asyncio.sleep(PAUSE_SECONDS)
+
+
+def _ignore(_line: str) -> None:
+    """Leave a line of a worker out of the record."""
 
 
 if __name__ == "__main__":
--- a/review/standins2/deployment.py
+++ b/review/standins2/deployment.py
@@ -17,7 +17,7 @@
 
 from standins2.http_io import Response, call, port_of, serve
 from standins2.store import Store
-from standins2.worker import Worker
+from standins2.worker import Worker, WorkerHost
 
 ROOT = Path(__file__).resolve().parents[2]
 SERVICE = "votes"
@@ -122,7 +122,7 @@
     zones: tuple[str, ...] = ("north",)
     entries: list[Node] = field(default_factory=list)
     agents: list[Node] = field(default_factory=list)
-    workers: list[Worker] = field(default_factory=list)
+    hosts: list[WorkerHost] = field(default_factory=list)
     store: Store = field(default_factory=Store)
     tasks: list[asyncio.Task] = field(default_factory=list)
     servers: list[asyncio.Server] = field(default_factory=list)
@@ -143,12 +143,12 @@
         server = await self._serve(self.store.handle)
         self.store_address = f"127.0.0.1:{port_of(server)}"
         self._add_nodes(entries, workers)
-        self.workers = workers
         for agent, worker in zip(self.agents, workers, strict=True):
-            server = await self._serve(worker.handle)
+            host = WorkerHost(worker)
+            self.hosts.append(host)
+            server = await self._serve(host.handle)
             worker.address = f"127.0.0.1:{port_of(server)}"
-            self._spawn(worker.advance())
-            self._spawn(worker.report(agent.address("control")))
+            self._start_worker(worker, agent)
         for node in [*self.entries, *self.agents]:
             self.start_process(node)
         async with asyncio.timeout(START_SECONDS):
@@ -173,6 +173,22 @@
             node = Node(f"agent-{number}", "agent", host, ports, worker.zone)
             self.agents.append(node)
 
+    def _start_worker(self, worker: Worker, agent: Node) -> None:
+        self._spawn(worker.advance())
+        self._spawn(worker.report(agent.address("control")))
+
+    async def replace_crashed(
+        self, number: int, worker: Worker, seconds: float
+    ) -> None:
+        """Crash a worker; another boot starts at its address some seconds later."""
+        host = self.hosts[number]
+        host.worker.crash()
+        await asyncio.sleep(seconds)
+        worker.address = host.worker.address
+        host.worker = worker
+        self._start_worker(worker, self.agents[number])
+        self.record.note(f"{worker.id}: starts, labels {', '.join(worker.labels)}")
+
     async def _serve(self, handler) -> asyncio.Server:
         server = await serve(handler, "127.0.0.1")
         self.servers.append(server)
@@ -245,6 +261,7 @@
         estimate: float | None = None,
         deadline: float = 20.0,
         is_noted: bool = True,
+        label: str = "",
     ) -> Response | None:
         """Submit a job that needs not be kept, and return the response.
 
@@ -257,6 +274,7 @@
             estimate: The seconds that the job declares; those of the work if ``None``.
             deadline: Seconds for which the client waits.
             is_noted: Whether the record has the call.
+            label: The label that the worker must have; empty for any worker.
         """
         note = self.record.note if is_noted else _ignore
         step = {
@@ -265,6 +283,8 @@
             "mem_mb": 64,
             "estimated_ms": round(1000 * (estimate or seconds)),
         }
+        if label:
+            step["required_label"] = label
         body = {"spec": str(seconds), "best_effort": True, "steps": [step]}
         headers = {
             "host": HOST_NAME,
--- a/review/standins2/worker.py
+++ b/review/standins2/worker.py
@@ -56,6 +56,7 @@
         runs: All runs that it has started.
         peak_cpu: The most that was in use at a time.
         counts: The orders that arrived and those left unanswered, by name.
+        is_down: Whether it has crashed.
     """
 
     id: str
@@ -80,6 +81,7 @@
     peak_cpu: int = 0
     sequence: int = 0
     address: str = ""
+    is_down: bool = False
     began: float = field(default_factory=time.monotonic)
 
     def __post_init__(self):
@@ -91,8 +93,8 @@
         return time.monotonic() - self.began + 100.0
 
     async def advance(self) -> None:
-        """End the runs that are due, until cancelled."""
-        while True:
+        """End the runs that are due, until it has crashed."""
+        while not self.is_down:
             self._end_due_runs()
             await asyncio.sleep(TICK_SECONDS)
 
@@ -116,6 +118,14 @@
         self.end_noted.set()
         self.end_noted = asyncio.Event()
 
+    def crash(self) -> None:
+        """End at once with all that runs here."""
+        self.is_down = True
+        for run in self.running.values():
+            run.ended_at, run.how = time.monotonic(), "crashed"
+        self.running.clear()
+        self.note(f"{self.id}: crashes")
+
     # Orders.
 
     async def handle(self, request: Request) -> Response | None:
@@ -136,6 +146,8 @@
 
     async def _carry_out_late(self, name: str, body: dict) -> None:
         await asyncio.sleep(self.rng.uniform(*LATE_SECONDS))
+        if self.is_down:
+            return
         self.note(f"{self.id}: carries out {name} late: {body.get('task', '')}")
         await self._carry_out(name, {**body, "wait_ms": 0})
 
@@ -219,8 +231,8 @@
     # Reports.
 
     async def report(self, agent: tuple[str, int]) -> None:
-        """Send heartbeats to the agent beside it, until cancelled."""
-        while True:
+        """Send heartbeats to the agent beside it, until it has crashed."""
+        while not self.is_down:
             target = f"/bergamotcourse/Instances.Heartbeat/{self.id}"
             await call(agent, "POST", target, self._heartbeat(), timeout=ACK_SECONDS)
             await asyncio.sleep(HEARTBEAT_SECONDS)
@@ -240,3 +252,23 @@
             "clock_ms": int(self.clock() * 1000),
             "sequence": self.sequence,
         }
+
+
+class WorkerHost:
+    """The address of a worker, at which one boot follows another.
+
+    Attributes:
+        worker: The present boot.
+        boots: The boot that has accepted each connection; it ends with that boot.
+    """
+
+    def __init__(self, worker: Worker):
+        self.worker = worker
+        self.boots: dict[object, Worker] = {}
+
+    async def handle(self, request: Request) -> Response | None:
+        """Return the response to an order; ``None`` leaves it unanswered."""
+        boot = self.boots.setdefault(request.connection, self.worker)
+        if boot is not self.worker or boot.is_down:
+            return None
+        return await boot.handle(request)
