--- a/review/5/case.py
+++ b/review/5/case.py
@@ -66,16 +66,12 @@
     note = deployment.record.note
     disruption = Disruption(trouble)
 
-    def note_job(line: str) -> None:
-        if JOB in line:
-            note(line)
-
     workers = [
         Worker(
             f"i-{number}",
             SERVICE,
             "127.0.0.1",
-            note_job,
+            note,
             lambda task: CPU if task.startswith(JOB) else OTHER_CPU,
             leaves_unanswered=disruption.applies,
         )
@@ -114,11 +110,7 @@
         for number in itertools.count(1):
             tasks.create_task(
                 deployment.submit(
-                    next(entries),
-                    f"{number:016x}",
-                    OTHER_SECONDS,
-                    OTHER_CPU,
-                    is_noted=False,
+                    next(entries), f"{number:016x}", OTHER_SECONDS, OTHER_CPU
                 )
             )
             await asyncio.sleep(1 / OTHER_JOBS_PER_SECOND)
--- a/review/6/case.py
+++ b/review/6/case.py
@@ -24,9 +24,7 @@
     """Return whether nothing started in an evacuated zone after the bound."""
     note = deployment.record.note
     workers = [
-        Worker(
-            f"i-{number}", SERVICE, "127.0.0.1", _ignore, lambda _task: CPU, zone=zone
-        )
+        Worker(f"i-{number}", SERVICE, "127.0.0.1", note, lambda _task: CPU, zone=zone)
         for number, zone in enumerate(ZONES, start=1)
     ]
     await deployment.start(entries=2, workers=workers)
@@ -67,15 +65,9 @@
         for number in itertools.count(1):
             job = f"{number:016x}"
             entry = next(entries)
-            tasks.create_task(
-                deployment.submit(entry, job, SECONDS, CPU, COUNT, is_noted=False)
-            )
+            tasks.create_task(deployment.submit(entry, job, SECONDS, CPU, COUNT))
             await asyncio.sleep(1 / JOBS_PER_SECOND)
 
 
-def _ignore(_line: str) -> None:
-    """Leave a line of a worker out of the record."""
-
-
 if __name__ == "__main__":
     main(case)
--- a/review/8/case.py
+++ b/review/8/case.py
@@ -3,6 +3,8 @@
 import asyncio
 import itertools
 import signal
+import time
+from collections.abc import Callable
 
 from standins2.deployment import SERVICE, Deployment, main
 from standins2.worker import Worker
@@ -26,6 +28,11 @@
 async def case(deployment: Deployment, trouble: bool) -> bool | None:
     """Return whether each task started on a worker with the label that it requires."""
     note = deployment.record.note
+    lines: list[tuple[float, str]] = []
+
+    def collect(line: str) -> None:
+        lines.append((time.monotonic(), line))
+
     boots: list[Worker] = []
 
     def boot(number: int, label: str) -> Worker:
@@ -33,7 +40,7 @@
             f"i-{len(boots) + 1}",
             SERVICE,
             "127.0.0.1",
-            _ignore,
+            collect,
             lambda _task: CPU,
             labels=(label, f"r{number}"),
         )
@@ -44,7 +51,7 @@
     await deployment.start(entries=2, workers=workers)
     ids = itertools.count(1)
     clients = [
-        asyncio.create_task(submit_jobs(deployment, number, ids))
+        asyncio.create_task(submit_jobs(deployment, number, ids, collect))
         for number in range(CLIENTS)
     ]
     entry = deployment.entries[0].process
@@ -64,18 +71,27 @@
             await deployment.replace_crashed(0, boot(1, LABEL), DOWN_SECONDS)
     for client in clients:
         client.cancel()
-    for worker in boots:
-        for run in worker.runs if LABEL not in worker.labels else ():
+    others = [worker for worker in boots if LABEL not in worker.labels]
+    jobs = {run.task.partition(".")[0] for worker in others for run in worker.runs}
+    note("the jobs that started on a worker without the label:")
+    for at, line in lines:
+        if any(job in line for job in jobs):
+            note(line, at)
+    for worker in others:
+        for run in worker.runs:
             note(f"{run.name} started on {worker.id}, labels {worker.labels}")
-    wrong = sum(len(one.runs) for one in boots if LABEL not in one.labels)
-    rounds = sum(bool(one.runs) for one in boots if LABEL not in one.labels)
+    wrong = sum(len(worker.runs) for worker in others)
+    rounds = sum(bool(worker.runs) for worker in others)
     total = sum(len(one.runs) for one in boots)
     note(f"{total} starts, {wrong} without the label, in {rounds} of {ROUNDS} rounds")
     return wrong == 0 if total else None
 
 
 async def submit_jobs(
-    deployment: Deployment, number: int, ids: itertools.count
+    deployment: Deployment,
+    number: int,
+    ids: itertools.count,
+    note: Callable[[str], None],
 ) -> None:
     """Submit one job after the other to an entry, until cancelled."""
     # Most callers are those of the entry that is frozen.
@@ -89,15 +105,11 @@
             CPU,
             COUNT,
             deadline=DEADLINE,
-            is_noted=False,
             label=LABEL,
+            note=note,
         )
         await asyncio.sleep(PAUSE_SECONDS)
 
 
-def _ignore(_line: str) -> None:
-    """Leave a line of a worker out of the record."""
-
-
 if __name__ == "__main__":
     main(case)
--- a/review/standins2/deployment.py
+++ b/review/standins2/deployment.py
@@ -12,6 +12,7 @@
 import tempfile
 import time
 import tomllib
+from collections.abc import Callable
 from dataclasses import dataclass, field
 from pathlib import Path
 
@@ -86,9 +87,10 @@
         self.file = path.open("w")
         self.began = time.monotonic()
 
-    def note(self, line: str) -> None:
-        """Write a line."""
-        self.file.write(f"{time.monotonic() - self.began:8.3f}  {line}\n")
+    def note(self, line: str, at: float | None = None) -> None:
+        """Write a line, of the present or of an earlier moment."""
+        seconds = (at or time.monotonic()) - self.began
+        self.file.write(f"{seconds:8.3f}  {line}\n")
         self.file.flush()
 
 
@@ -260,8 +262,8 @@
         count: int = 1,
         estimate: float | None = None,
         deadline: float = 20.0,
-        is_noted: bool = True,
         label: str = "",
+        note: Callable[[str], None] | None = None,
     ) -> Response | None:
         """Submit a job that needs not be kept, and return the response.
 
@@ -273,10 +275,10 @@
             count: Number of tasks.
             estimate: The seconds that the job declares; those of the work if ``None``.
             deadline: Seconds for which the client waits.
-            is_noted: Whether the record has the call.
             label: The label that the worker must have; empty for any worker.
+            note: Called with the lines for the record; writes them by default.
         """
-        note = self.record.note if is_noted else _ignore
+        note = note or self.record.note
         step = {
             "count": count,
             "cpu": cpu,
@@ -318,10 +320,6 @@
     return f"{response.status} {response.body.decode()[:100]}"
 
 
-def _ignore(_line: str) -> None:
-    """Leave a line out of the record."""
-
-
 def free_ports(host: str, count: int) -> list[int]:
     """Return ports of an address that are free."""
     sockets = [socket.socket() for _ in range(count)]
