--- a/review/standins2/deployment.py
+++ b/review/standins2/deployment.py
@@ -366,7 +366,8 @@
     except asyncio.CancelledError:
         record.note("it was ended")
         return None
-    except (TimeoutError, OSError) as error:
+    except Exception as error:
+        # An error of the script must not count as a broken rule.
         record.note(f"it did not run: {error!r}")
         return None
     finally:
