Let a lease lapse for a withdrawn run until its stop is confirmed

Callers saw a task at work twice: an upstream left the stop orders of a run unanswered, its caller got 504, sent the job again 1.3 s later, and the task started elsewhere beside the first run.

Cause: the agent renewed the lease of the upstream, with holds and with starts, as soon as the stop was ordered. An order that is lost ends nothing, so neither the stop nor the lease ended the run. The same held for the runs of an entry that is lost or out of reach, and for runs that an entry withdraws at a new process of an agent.

A withdrawn run now keeps the lease from being renewed until its stop is confirmed or its end is listed. Starts go on meanwhile, on the lease that was ordered last, while at least half of it is left. A run that its agent stops by itself, to move it, does not count: its entry waits for its end.

Once the lease has lapsed, a withdrawn run that the upstream does not list is given up, as its lost stops would else keep the upstream out of use.

Log: `run.stop_unanswered` has each stop order without an answer.

--- a/bergamotcourse/coordination/jobs/executor.py
+++ b/bergamotcourse/coordination/jobs/executor.py
@@ -21,7 +21,10 @@
     ReportKind,
     is_departure_of_life,
 )
-from bergamotcourse.coordination.jobs.lease_terms import UPSTREAM_LEASE_EXPIRY_SECONDS
+from bergamotcourse.coordination.jobs.lease_terms import (
+    UPSTREAM_LEASE_EXPIRY_SECONDS,
+    UPSTREAM_LEASE_SECONDS,
+)
 from bergamotcourse.coordination.jobs.order_sender import (
     ORDER_RETRY_SECONDS,
     OrderSender,
@@ -59,6 +62,10 @@
 """Consecutive unanswered holds after which no run is started. If one order in twenty is
 lost, this pauses starts for 0.1 s in ten seconds."""
 
+MIN_START_LEASE_SECONDS = UPSTREAM_LEASE_SECONDS / 2
+"""Shortest rest of a lease that may not be renewed for now with which a run is started:
+with less, the run would probably lapse."""
+
 IDLE_RETRY_SECONDS = 0.25
 """Delay before the next hold to a silent upstream on which nothing runs."""
 
@@ -219,11 +226,12 @@
         if run is None:
             self._withdraw_unknown(entry, key)
             return
-        self._stop(run, "withdrawn")
+        self._withdraw(run, "withdrawn")
 
     def _withdraw_unknown(self, entry: LinkAddress, key: RunKey) -> None:
         """Stop a run that an earlier process of this agent may have started."""
         run = PlacedRun(key, entry, None, self.timers.now(), RunState.STOPPING)
+        run.is_withdrawn = True
         self.registry.add(run)
         if not self.reconciler.finish_former_run(run):
             # A start order of the earlier process may still be in flight.
@@ -233,7 +241,12 @@
         """Stop all runs of an entry."""
         for run in self.registry.all():
             if run.entry == entry:
-                self._stop(run, why)
+                self._withdraw(run, why)
+
+    def _withdraw(self, run: PlacedRun, why: str) -> None:
+        """Stop a run whose task may start elsewhere before its end is known."""
+        run.is_withdrawn = True
+        self._stop(run, why)
 
     def stop_all_runs(self, why: str) -> None:
         """Stop all runs."""
@@ -287,13 +300,16 @@
             self._start(run)
 
     def _starts_paused(self) -> bool:
-        """Return whether starts are paused because several holds had no answer.
+        """Return whether starts are paused, as the lease may be about to expire.
 
         Each start order renews the lease of an upstream that may be lost. Queued runs
         can be placed on other upstreams meanwhile.
         """
         too_many_failed = self.life.failed_holds >= START_PAUSE_FAILED_HOLDS
-        return self.policy.doubts_at_once and too_many_failed
+        if self.policy.doubts_at_once and too_many_failed:
+            return True
+        remaining = self.life.remaining_lease_seconds(self.timers.lease_now())
+        return remaining < MIN_START_LEASE_SECONDS and not self._may_renew()
 
     async def run(self, task_status=trio.TASK_STATUS_IGNORED) -> None:
         """Serve the upstream until cancelled.
@@ -321,6 +337,7 @@
                 and not life.report.draining
                 and self.may_start(run.entry)
             ),
+            self._may_renew,
         )
         if self.registry.has(run) and life is self.life:
             self._handle_start_verdict(run, verdict)
@@ -420,7 +437,7 @@
 
     async def _order_stop(self, run: PlacedRun) -> None:
         """Repeat the stop order until it is confirmed or the run has its outcome."""
-        while self.registry.has(run) and run.stop_confirmed_hold < 0:
+        while self.registry.has(run) and not run.is_stop_confirmed:
             if run.state is RunState.LAPSING:
                 return
             life = self.life
@@ -431,7 +448,17 @@
             if await self.order_sender.stop(run.key, life) and life is self.life:
                 run.stop_confirmed_hold = self.hold_count
                 self.wake.set()
+                # Starts may have waited for the lease to be extended again.
+                self.start_queued_runs()
                 return
+            run.unanswered_stops += 1
+            self.log.write(
+                "run.stop_unanswered",
+                task=run.key.task,
+                run=run.key.number,
+                orders=run.unanswered_stops,
+                withdrawn=run.is_withdrawn,
+            )
 
     def _stop_unclaimed_runs(self, life: UpstreamLife) -> None:
         """Stop the listed runs that nobody claims."""
@@ -530,14 +557,19 @@
         return 0.0 if alone and self.policy.learns_answer_time else ORDER_RETRY_SECONDS
 
     def _may_renew(self) -> bool:
-        """Return whether every run that is not being stopped may still continue.
+        """Return whether every run that the lease covers may continue.
+
+        A withdrawn run may not until its stop is confirmed: its task may be started
+        elsewhere after a time in which the lease must have ended the run if every stop
+        order was lost.
 
         After a pause of this process, the contact with an entry may have ended
         unnoticed. If the process renewed the lease then and died, that entry's runs
         would outlive the time after which another entry may start the job again.
         """
         return all(
-            run.stop_requested or self.may_start(run.entry)
+            run.is_stop_confirmed
+            or (not run.is_withdrawn and self.may_start(run.entry))
             for run in self.registry.all()
             if run.occupies_room
         )
@@ -552,25 +584,31 @@
         self._finish_runs_if_lease_lapsed()
 
     def _finish_runs_if_lease_lapsed(self) -> None:
-        """Finish the runs at an unresponsive upstream once its lease has expired."""
+        """Finish the runs whose end is not known, once their lease has expired.
+
+        These are all runs at an unresponsive upstream. At one that answers, they are
+        the withdrawn runs whose stops are lost, and which it does not list. Such a run
+        would keep the lease from being renewed for as long as its stops are lost.
+        """
         now = self.timers.lease_now()
         lapses_at = (
             self.life.lapses_at
             if self.life
             else self.process_started_at + UPSTREAM_LEASE_EXPIRY_SECONDS
         )
-        silent = self.life is None or self.life.silent
-        if not silent or now < lapses_at:
+        if now < lapses_at:
             return
-        life = self.life.report.life.checksum() if self.life else NO_LIFE
+        silent = self.life is None or self.life.silent
+        life = self.life.report.life.checksum() if silent and self.life else NO_LIFE
         for run in self.registry.all():
-            if run.occupies_room:
+            if run.occupies_room and (silent or run.is_withdrawal_unanswered):
                 self.reconciler.give_up(run, "its lease lapsed", life)
 
     def _handle_holding(
         self, life: UpstreamLife, holding: Holding, number: int
     ) -> None:
         self.reconciler.reconcile(life, self.health, self.speed, holding, number)
+        self._finish_runs_if_lease_lapsed()
         self._stop_unclaimed_runs(life)
         self._move_runs(life.answer_made_at)
         self._move_from_leaving(life)
--- a/bergamotcourse/coordination/jobs/order_sender.py
+++ b/bergamotcourse/coordination/jobs/order_sender.py
@@ -51,7 +51,11 @@
         self.lossy_until = 0.0
 
     async def start(
-        self, run: PlacedRun, life: UpstreamLife, may_start: Callable[[], bool]
+        self,
+        run: PlacedRun,
+        life: UpstreamLife,
+        may_start: Callable[[], bool],
+        may_extend_lease: Callable[[], bool],
     ) -> StartVerdict:
         """Order a run to start, repeating the order while it has no answer.
 
@@ -59,8 +63,9 @@
             run: The run.
             life: The life of the upstream that is to run it.
             may_start: Called right before each order; returns whether the run may still
-                start. This process may have been paused since the run was placed, and
-                the order renews the lease.
+                start. This process may have been paused since the run was placed.
+            may_extend_lease: Called right before the first order; returns whether it
+                may extend the lease. Otherwise it names the end that was ordered last.
 
         Returns:
             The verdict. With ``UNKNOWN`` the run may have run, or may still start.
@@ -72,7 +77,11 @@
             if order is None:
                 # Copies do not extend the lease: if the upstream is lost, its runs have
                 # certainly ended only once the last lease ordered has expired.
-                until = life.extend_lease(self.timers.lease_now())
+                until = (
+                    life.extend_lease(self.timers.lease_now())
+                    if may_extend_lease()
+                    else life.lease_until
+                )
                 order = StartOrder(run.key, run.order.payload, until)
             reply = await self._start_once(run, life, order, attempt)
             life.update_clock(reply.clock, self.timers.lease_now())
@@ -119,7 +128,7 @@
             waits: Whether the upstream waits for ends of runs before it answers.
         """
         until = life.extend_lease(self.timers.lease_now()) if renews else None
-        wait = self._long_poll_seconds() if waits else 0.0
+        wait = self._long_poll_seconds(renews) if waits else 0.0
         noted = life.processed_ends
         timeout = wait + self.answer_time.timeout(life.failed_holds)
         timeout = min(timeout, HOLD_TIMEOUT_SECONDS)
@@ -131,8 +140,10 @@
             self.lossy_until = self.timers.now() + LOSSY_PERIOD_SECONDS
         return answer
 
-    def _long_poll_seconds(self) -> float:
-        if self.adapts_timeouts and self.timers.now() < self.lossy_until:
+    def _long_poll_seconds(self, renews: bool) -> float:
+        # The next hold after one that did not renew the lease should not come late.
+        is_lossy = self.timers.now() < self.lossy_until or not renews
+        if self.adapts_timeouts and is_lossy:
             return LOSSY_LONG_POLL_SECONDS
         return HOLD_LONG_POLL_SECONDS
 
--- a/bergamotcourse/coordination/jobs/task_runs.py
+++ b/bergamotcourse/coordination/jobs/task_runs.py
@@ -33,7 +33,10 @@
         started_at: When the upstream confirmed the start; 0 before.
         start_confirmed_hold: Number of holds begun by then; -1 before.
         stop_requested: The run must end, whatever else happens.
+        is_withdrawn: Its entry has withdrawn it or is lost, so its task may start
+            elsewhere before the end of this run is known.
         is_moving: It is stopped because it would finish sooner elsewhere.
+        unanswered_stops: Number of stop orders without an answer.
         stop_confirmed_hold: Number of holds begun when the upstream confirmed the stop;
             -1 before.
         progress: Share of the work that was done at ``progress_at``.
@@ -48,7 +51,9 @@
     started_at: float = 0.0
     start_confirmed_hold: int = -1
     stop_requested: bool = False
+    is_withdrawn: bool = False
     is_moving: bool = False
+    unanswered_stops: int = 0
     stop_confirmed_hold: int = -1
     progress: float = 0.0
     progress_at: float = 0.0
@@ -65,6 +70,17 @@
         """Return whether it occupies room at the present upstream."""
         return self.state not in (RunState.QUEUED, RunState.LAPSING)
 
+    @property
+    def is_stop_confirmed(self) -> bool:
+        """Return whether the upstream has confirmed a stop of the run."""
+        return self.stop_confirmed_hold >= 0
+
+    @property
+    def is_withdrawal_unanswered(self) -> bool:
+        """Return whether it is withdrawn and only unanswered stops were ordered."""
+        is_answered = self.is_stop_confirmed or not self.unanswered_stops
+        return self.is_withdrawn and not is_answered
+
     def rank(self) -> tuple[float, float]:
         """Return the sort key in the queue; the lowest starts first."""
         return (self.placed_at + self.order.slack_ms / 1000, self.placed_at)
--- a/bergamotcourse/coordination/jobs/upstream_life.py
+++ b/bergamotcourse/coordination/jobs/upstream_life.py
@@ -37,6 +37,7 @@
             ordered for too long.
         lapses_at: When all runs there have ended unless the lease is renewed, by the
             agent's lease clock.
+        lease_until: Latest end of the lease that was ordered, by the upstream's clock.
         processed_ends: Number of the last end that has been processed.
         acknowledged_ends: The last ``processed_ends`` sent in a hold that was answered.
         failed_holds: Consecutive holds without an answer.
@@ -60,6 +61,7 @@
     clock_offset: float
     lapses_at: float
     reported_at: float = 0.0
+    lease_until: float = 0.0
     processed_ends: int = 0
     acknowledged_ends: int = 0
     failed_holds: int = 0
@@ -112,4 +114,10 @@
     def extend_lease(self, now: float) -> float:
         """Extend the lease; return its new end to order, by the upstream's clock."""
         self.lapses_at = max(self.lapses_at, now + UPSTREAM_LEASE_EXPIRY_SECONDS)
-        return now + self.clock_offset + UPSTREAM_LEASE_SECONDS
+        until = now + self.clock_offset + UPSTREAM_LEASE_SECONDS
+        self.lease_until = max(self.lease_until, until)
+        return until
+
+    def remaining_lease_seconds(self, now: float) -> float:
+        """Return for how long the lease lasts if every order has been carried out."""
+        return self.lease_until - (now + self.clock_offset)
--- a/bergamotcourse/tests/jobs/test_order_sender.py
+++ b/bergamotcourse/tests/jobs/test_order_sender.py
@@ -61,9 +61,8 @@
 
         port.on_order = stop
         life = UpstreamLife(None, port, 0.0, 0.0)
-        return await OrderSender(Timers()).start(run, life, may_start), len(
-            port.verdicts
-        )
+        verdict = await OrderSender(Timers()).start(run, life, may_start, lambda: True)
+        return verdict, len(port.verdicts)
 
     return run_virtual(main, 1)
 
@@ -96,6 +95,24 @@
         """
         assert order_start(UNKNOWN, verdict, stopped_at=1)[0] is UNKNOWN
 
+    def test_names_the_last_end_of_a_lease_that_it_may_not_extend(self):
+        """Guards against a lease that a start extends while a stop has no answer."""
+
+        async def main():
+            port = Port([StartVerdict.STARTED])
+            order = PlaceTask(KEY, "job", "", Resources(3100), 100, 0.4, 15)
+            run = PlacedRun(KEY, LinkAddress("tcp://entry-1"), order, 0.0)
+            life = UpstreamLife(None, port, 0.0, 0.0)
+            until = life.extend_lease(5.0)
+            lapses_at = life.lapses_at
+            await OrderSender(Timers()).start(
+                run, life, lambda: True, may_extend_lease=lambda: False
+            )
+            assert [order.until for order in port.orders] == [until]
+            assert life.lapses_at == lapses_at
+
+        run_virtual(main, 1)
+
     def test_repeated_order_does_not_extend_the_lease(self):
         async def main():
             port = Port([UNKNOWN] * MAX_START_ATTEMPTS)
@@ -106,7 +123,7 @@
             timers = VirtualTimers(random.Random(1), Pause())
             begun = timers.lease_now()
             port.pause = 0.1
-            await OrderSender(timers).start(run, life, lambda: True)
+            await OrderSender(timers).start(run, life, lambda: True, lambda: True)
             assert len({copy.until for copy in port.orders}) == 1
             assert life.lapses_at == begun + UPSTREAM_LEASE_EXPIRY_SECONDS
 
