Apply all changes of zones that one transaction makes

Likewise a zone stayed evacuated that was taken back while another one was evacuated.

Cause: entries compared the version of each change with that of the change before it, and the rows of a transaction have one version.

An entry applies them to what it has itself read from the store, not to a set from a peer. A set says whether all changes of its version are included; of one version such a set supersedes one that does not say so, as those of an earlier release during a rollout. If an answer of the feed is a page, the position goes no further than the last version that is certainly whole.

--- a/bergamotcourse/coordination/jobs/evacuated_zones.py
+++ b/bergamotcourse/coordination/jobs/evacuated_zones.py
@@ -24,13 +24,13 @@
         return zone in self.latest.zones
 
     def adopt(self, evacuations: Evacuations, source: str) -> None:
-        """Put a set of evacuated zones in force if its version is newer.
+        """Put a set of evacuated zones in force if it supersedes the present one.
 
         Args:
             evacuations: The set.
             source: Where it was received from, for the log.
         """
-        if evacuations.version <= self.latest.version:
+        if not evacuations.supersedes(self.latest):
             return
         former, self.latest = self.latest, evacuations
         if evacuations.zones == former.zones:
--- a/bergamotcourse/coordination/jobs/store_watch.py
+++ b/bergamotcourse/coordination/jobs/store_watch.py
@@ -117,6 +117,8 @@
     Attributes:
         peer_count: Returns the number of other entries, which also report changes.
         position: Position up to which changes are known; ``None`` to read everything.
+        evacuations: The evacuated zones at that position. Sets that peers have sent are
+            not used: changes are applied to what was read from the store itself.
     """
 
     def __init__(
@@ -135,6 +137,7 @@
         self.log = log
         self.backoff = Backoff("config", rng, log, MAX_CONFIG_BACKOFF_SECONDS)
         self.position: int | None = None
+        self.evacuations = Evacuations()
 
     async def run(self) -> None:
         """Poll for changes until cancelled."""
@@ -167,7 +170,8 @@
                 position=read.position,
                 copies=read.copies,
             )
-        self.zones.adopt(self._evacuations_after(read), "store")
+        self.evacuations = self._evacuations_after(read)
+        self.zones.adopt(self.evacuations, "store")
         if read.content is not None:
             self.queues.adopt(read.content, "store")
         elif read.position == self.position:
@@ -183,8 +187,8 @@
     def _evacuations_after(self, read: ConfigRead) -> Evacuations:
         if read.is_snapshot:
             zones = sorted(change.zone for change in read.zones)
-            return Evacuations(read.position, tuple(zones))
-        return apply_zone_changes(self.zones.latest, read.zones)
+            return Evacuations(read.position, tuple(zones), is_complete=True)
+        return apply_zone_changes(self.evacuations, read.zones)
 
 
 class EntryRows:
--- a/bergamotcourse/platform/store.py
+++ b/bergamotcourse/platform/store.py
@@ -60,10 +60,14 @@
 
     Rows are decoded one by one: other programs write to the store too, and a malformed
     row must not hide the others.
+
+    Attributes:
+        has_more: The answer is a page, after which more rows follow.
     """
 
     ver: int
     rows: list[msgspec.Raw] = []
+    has_more: bool = False
 
 
 @dataclass(frozen=True)
@@ -72,10 +76,23 @@
 
     Attributes:
         version: The store's newest version.
+        has_more: More rows follow.
     """
 
     version: int
     rows: list[WireRow]
+    has_more: bool = False
+
+    def whole_transactions(self) -> "DecodedRows":
+        """Return the rows of changes up to a version of which no change is missing.
+
+        A page may end inside a transaction, whose rows all have the same version.
+        """
+        if not self.has_more:
+            return self
+        last = max((row.ver for row in self.rows), default=1)
+        rows = [row for row in self.rows if row.ver < last]
+        return DecodedRows(last - 1, rows)
 
 
 _report_decoder = msgspec.msgpack.Decoder(UpstreamReport)
@@ -122,12 +139,17 @@
             timeout: Seconds until the call fails.
 
         The error is a ``HistoryGoneError`` if the store no longer has all changes
-        since that version.
+        since that version, or they do not fit into its answer.
         """
         fields = {"table": OPERATOR_TABLE, "after": after, "wait_ms": int(wait * 1000)}
         target = f"/bergamotcourse/rows-feed?{urlencode(fields)}"
         rows = await self._get_rows(OPERATOR_TABLE, target, timeout)
-        return rows.map(lambda read: self._config_from_rows(read, is_snapshot=False))
+        if rows.is_error():
+            return rows
+        read = rows.ok.whole_transactions()
+        if rows.ok.has_more and read.version <= after:
+            return self._history_gone("a transaction is larger than a page")
+        return Ok(self._config_from_rows(read, is_snapshot=False))
 
     async def put_entry(
         self, address: LinkAddress, timeout: float
@@ -197,16 +219,15 @@
         if answer.is_error():
             return answer
         if answer.ok.status == HISTORY_GONE_STATUS:
-            return Error(
-                HistoryGoneError(Step.STORE, self.client.peer, "history is gone")
-            )
+            return self._history_gone("history is gone")
         if answer.ok.status != 200:
             return self._status_error(answer.ok.status)
         try:
             read = decode_document(_rows_decoder, answer.ok.body)
         except ValueError as error:
             return Error(StepError(Step.DECODE, self.client.peer, str(error)))
-        return Ok(DecodedRows(read.ver, self._decode_rows(table, read.rows)))
+        rows = self._decode_rows(table, read.rows)
+        return Ok(DecodedRows(read.ver, rows, read.has_more))
 
     def _decode_rows(self, table: str, raw: list[msgspec.Raw]) -> list[WireRow]:
         rows = []
@@ -291,6 +312,9 @@
             return self._status_error(answer.ok.status)
         return Ok(None)
 
+    def _history_gone(self, why: str) -> Result:
+        return Error(HistoryGoneError(Step.STORE, self.client.peer, why))
+
     def _status_error(self, status: int) -> Result:
         return Error(StepError(Step.STORE, self.client.peer, f"status {status}"))
 
--- a/bergamotcourse/protocol/job_store.py
+++ b/bergamotcourse/protocol/job_store.py
@@ -16,7 +16,7 @@
     """The operator's configuration and zone evacuations, as read from the store.
 
     Attributes:
-        position: Version of the store up to which its changes are included.
+        position: Version of the store up to which all its changes are included.
         content: The configuration; ``None`` if there is none or it has not changed.
         zones: The zones that were evacuated or are no longer evacuated.
         is_snapshot: Whether ``zones`` lists every evacuated zone, so that any other
--- a/bergamotcourse/tests/jobs/test_configuration.py
+++ b/bergamotcourse/tests/jobs/test_configuration.py
@@ -68,9 +68,11 @@
         self.version = version
         self.position += 1
 
-    def evacuate(self, zone, evacuated=True):
+    def evacuate(self, *zones, evacuated=True):
+        """Begin or end the evacuation of zones in one transaction."""
         self.position += 1
-        self.zones[zone] = ZoneChange(ZoneName(zone), evacuated, self.position)
+        for zone in zones:
+            self.zones[zone] = ZoneChange(ZoneName(zone), evacuated, self.position)
 
     def changes(self, after):
         found = (one for one in self.zones.values() if one.version > after)
@@ -206,17 +208,50 @@
 
         run_feed(scenario, zones)
 
+    def test_zones_that_change_in_one_transaction_all_change(self):
+        """Guards against applying only the first of several changes at once."""
+        zones = make_zones()
+
+        async def scenario(store, queues):
+            store.put(3)
+            await trio.sleep(1.0)
+            store.evacuate("north", "south", "west")
+            await trio.sleep(0.3)
+            assert zones.latest.zones == ("north", "south", "west")
+            store.evacuate("north", "west", evacuated=False)
+            await trio.sleep(0.3)
+            assert zones.latest.zones == ("south",)
+
+        run_feed(scenario, zones)
+
+    def test_set_of_a_peer_of_an_earlier_release_is_corrected(self):
+        """Guards against a wrong set that stays in force as its version is right."""
+        zones = make_zones()
+
+        async def scenario(store, queues):
+            store.put(3)
+            await trio.sleep(1.0)
+            zones.adopt(evacuation(store.position + 1, "north"), "peer")
+            store.evacuate("north", "south")
+            await trio.sleep(0.3)
+            assert zones.latest.zones == ("north", "south")
+            store.evacuate("north", evacuated=False)
+            await trio.sleep(0.3)
+            assert zones.latest.zones == ("south",)
+
+        run_feed(scenario, zones)
+
     @pytest.mark.parametrize("evacuated", [True, False])
     def test_zone_change_missing_from_history_is_read_from_snapshot(self, evacuated):
         zones = make_zones()
 
         async def scenario(store, queues):
             store.put(3)
-            store.evacuate("north", not evacuated)
+            store.evacuate("north", evacuated=not evacuated)
             await trio.sleep(0.5)
             store.error = HistoryGoneError(Step.STORE, "store", "history is gone")
             await trio.sleep(0.2)
-            store.evacuate("north", evacuated)
+            store.evacuate("north", evacuated=evacuated)
             store.error = None
             await trio.sleep(IN_FORCE_SECONDS)
             assert zones.is_evacuated("north") is evacuated
--- a/bergamotcourse/tests/jobs/test_evacuations.py
+++ b/bergamotcourse/tests/jobs/test_evacuations.py
@@ -60,6 +60,32 @@
         for view in views:
             assert apply_zone_changes(view, tuple(changes)) == leader
 
+    @given(
+        st.lists(
+            st.dictionaries(st.sampled_from("abc"), st.booleans(), min_size=1),
+            max_size=6,
+        ),
+        st.randoms(use_true_random=False),
+    )
+    def test_each_change_of_a_transaction_is_applied(self, transactions, rng):
+        """Guards against zones of one transaction of which only the first counts."""
+        changes = [
+            ZoneChange(ZoneName(zone), evacuated, number)
+            for number, transaction in enumerate(transactions, start=1)
+            for zone, evacuated in transaction.items()
+        ]
+        expected = {}
+        for transaction in transactions:
+            expected |= transaction
+        view = Evacuations()
+        position = 0
+        while position < len(transactions):
+            page = rng.randint(position + 1, len(transactions))
+            read = [one for one in changes if position < one.version <= page]
+            view = apply_zone_changes(view, tuple(read))
+            position = page
+        assert set(view.zones) == {zone for zone, gone in expected.items() if gone}
+
 
 class TestPlacement:
     def test_jobs_avoid_zone_until_evacuation_ends(self):
@@ -134,6 +160,25 @@
         run_fleet(main, zones=2)
 
 
+class TestEarlierRelease:
+    """During a rollout, entries of an earlier release may have missed a zone."""
+
+    def test_complete_set_corrects_an_incomplete_one_of_the_same_version(self):
+        """Guards against a wrong set that stays in force as its version is right."""
+
+        async def main(fleet):
+            evacuate_at_entry(fleet, "entry-2", 1, SOUTH)
+            await trio.sleep(PROPAGATION_SECONDS)
+            complete = Evacuations(1, (ZoneName(NORTH), ZoneName(SOUTH)), True)
+            fleet.entries["entry-1"].zones.adopt(complete, "store")
+            await trio.sleep(PROPAGATION_SECONDS)
+            answer = await fleet.submit("entry-2", job("a", tasks=4, work=0.1))
+            assert answer.outcome is JobOutcome.REFUSED
+            assert zones_used(fleet) == set()
+
+        run_fleet(main, zones=2)
+
+
 class TestPropagation:
     def test_agent_rejects_placements_of_entry_with_stale_zones(self):
         """The entry may have lost the store and all other entries."""
--- a/bergamotcourse/tests/platform/cluster.py
+++ b/bergamotcourse/tests/platform/cluster.py
@@ -8,6 +8,7 @@
 import socket
 import subprocess
 import sys
+from collections.abc import Sequence
 from dataclasses import dataclass, field
 from pathlib import Path
 
@@ -74,6 +75,10 @@
     return Resources(TASK_CPU, TASK_MEM_MB, 0), float(payload)
 
 
+def evacuation_row(zone):
+    return {"table": "op", "key": f"evacuate/{zone}"}
+
+
 @dataclass
 class Node:
     """One entry or agent process, which may be started several times.
@@ -245,14 +250,21 @@
         value = base64.b64encode(msgspec.json.encode(config)).decode()
         self.rows.transact({"put": [{"table": "op", "key": "config", "value": value}]})
 
-    def evacuate(self, zone: str) -> None:
-        """Request the evacuation of a zone, in which no task may start from then on."""
-        row = {"table": "op", "key": f"evacuate/{zone}", "value": "e30="}
-        self.rows.transact({"put": [row]})
-
-    def end_evacuation(self, zone: str) -> None:
-        """Withdraw the request to evacuate a zone."""
-        self.rows.transact({"remove": [{"table": "op", "key": f"evacuate/{zone}"}]})
+    def evacuate(self, *zones: str) -> None:
+        """Request the evacuation of zones, in which no task may start from then on."""
+        self.change_evacuations(begun=zones)
+
+    def end_evacuation(self, *zones: str) -> None:
+        """Withdraw the request to evacuate zones."""
+        self.change_evacuations(ended=zones)
+
+    def change_evacuations(
+        self, begun: Sequence[str] = (), ended: Sequence[str] = ()
+    ) -> None:
+        """Begin and end the evacuation of zones in one transaction."""
+        put = [{**evacuation_row(zone), "value": "e30="} for zone in begun]
+        remove = [evacuation_row(zone) for zone in ended]
+        self.rows.transact({"put": put, "remove": remove})
 
     def newest_route_prefix(self) -> str:
         """Return the path prefix of the last route in the configuration."""
--- a/bergamotcourse/tests/platform/standins.py
+++ b/bergamotcourse/tests/platform/standins.py
@@ -49,6 +49,7 @@
         history: All changes of rows, for the feed.
         returned: The number of rows in the last answer.
         status: The HTTP status of all answers; with 200 calls are served.
+        page_rows: Most rows in an answer of the feed; ``None`` for all.
     """
 
     def __init__(self):
@@ -57,6 +58,7 @@
         self.returned = 0
         self.version = 0
         self.status = 200
+        self.page_rows: int | None = None
         self.changed = trio.lowlevel.ParkingLot()
 
     async def handle(self, request):
@@ -69,6 +71,7 @@
             return self.answer([])
         if parts.path.endswith("rows-feed"):
             rows = await self.wait_for_changes(query)
+            return self.answer(rows[: self.page_rows], len(rows))
         else:
             rows = [
                 {"table": table, "part": "", "key": key, "value": value, "ver": version}
@@ -76,7 +79,6 @@
                 if table == query["table"]
                 if query.get("from", "") <= key < query.get("to", END_OF_KEYS)
             ]
-        self.returned = len(rows)
         return self.answer(rows)
 
     async def wait_for_changes(self, query):
@@ -104,8 +106,11 @@
                 self.history.append({**row, **dropped})
         self.changed.unpark_all()
 
-    def answer(self, rows):
-        body = {"rows": rows, "has_more": False, "ver": self.version, "now_ms": 1}
+    def answer(self, rows, available=0):
+        """Return an answer with some of the available rows."""
+        self.returned = len(rows)
+        has_more = len(rows) < available
+        body = {"rows": rows, "has_more": has_more, "ver": self.version, "now_ms": 1}
         return json_answer(body)
 
 
--- a/bergamotcourse/tests/platform/test_evacuations.py
+++ b/bergamotcourse/tests/platform/test_evacuations.py
@@ -13,16 +13,17 @@
 """Bound for an evacuation to take effect where there are no faults."""
 
 ZONES = ("north", "south")
+THREE_ZONES = ("north", "south", "east")
 
 TASKS_PER_JOB = 16
 """More than the ten that fit on a worker, so that a job needs two workers."""
 
 
 @asynccontextmanager
-async def running_cluster(folder, entries=1, agents=2):
+async def running_cluster(folder, entries=1, agents=2, zones=ZONES):
     with trio.fail_after(TEST_TIMEOUT_SECONDS):
         async with trio.open_nursery() as nursery:
-            cluster = Cluster(folder, nursery, ZONES)
+            cluster = Cluster(folder, nursery, zones)
             try:
                 await cluster.start(entries, agents)
                 yield cluster
@@ -58,3 +59,20 @@
                 assert await run_wide_job(cluster, 3) == (200, {north, south})
 
         trio.run(main)
+
+    def test_zones_that_change_in_one_transaction_all_change(self, tmp_path):
+        """Guards against applying only the first of several changes at once."""
+
+        async def main():
+            async with running_cluster(
+                tmp_path, agents=3, zones=THREE_ZONES
+            ) as cluster:
+                north, south, east = (worker_in(cluster, zone) for zone in THREE_ZONES)
+                cluster.evacuate("north", "south")
+                await trio.sleep(EVACUATION_EFFECT_SECONDS)
+                assert await run_wide_job(cluster, 1) == (200, {east})
+                cluster.change_evacuations(begun=("east",), ended=("north", "south"))
+                await trio.sleep(EVACUATION_EFFECT_SECONDS)
+                assert await run_wide_job(cluster, 2) == (200, {north, south})
+
+        trio.run(main)
--- a/bergamotcourse/tests/platform/test_store.py
+++ b/bergamotcourse/tests/platform/test_store.py
@@ -53,6 +53,14 @@
     return lines
 
 
+def evacuate(rows, *zones):
+    """Evacuate zones in one transaction."""
+    put = [
+        {"table": "op", "key": f"evacuate/{zone}", "value": "e30="} for zone in zones
+    ]
+    rows.transact({"put": put})
+
+
 class TestConfig:
     def test_no_configuration_changes_after_the_read_position(self):
         rows = StoreStandIn()
@@ -112,6 +120,48 @@
 
         with_store(rows, scenario)
 
+    def test_all_changes_of_a_transaction_have_its_version(self):
+        rows = StoreStandIn()
+        evacuate(rows, "north", "south")
+
+        async def scenario(store):
+            read = (await store.wait_for_config_changes(0, 0.0, 1.0)).ok
+            assert read.position == 1
+            assert read.zones == (
+                ZoneChange(ZoneName("north"), True, 1),
+                ZoneChange(ZoneName("south"), True, 1),
+            )
+
+        with_store(rows, scenario)
+
+    def test_page_that_ends_inside_a_transaction_leaves_it_to_the_next(self):
+        """Guards against changes that are skipped as their version was reached."""
+        rows = StoreStandIn()
+        rows.page_rows = 2
+        evacuate(rows, "north")
+        evacuate(rows, "east", "south")
+
+        async def scenario(store):
+            first = (await store.wait_for_config_changes(0, 0.0, 1.0)).ok
+            assert first.position == 1
+            assert [change.zone for change in first.zones] == ["north"]
+            second = (await store.wait_for_config_changes(1, 0.0, 1.0)).ok
+            assert second.position == 2
+            assert [change.zone for change in second.zones] == ["east", "south"]
+
+        with_store(rows, scenario)
+
+    def test_transaction_larger_than_a_page_requires_a_full_read(self):
+        rows = StoreStandIn()
+        rows.page_rows = 1
+        evacuate(rows, "north", "south")
+
+        async def scenario(store):
+            result = await store.wait_for_config_changes(0, 0.0, 1.0)
+            assert isinstance(result.error, HistoryGoneError)
+
+        with_store(rows, scenario)
+
     def test_missing_configuration_is_none(self):
         async def scenario(store):
             assert (await store.read_config(1.0)).ok.content is None
