Start a task only on the upstream that it was placed for

Callers' tasks started on an upstream without the label that they require, after an upstream had crashed and another kind of it had started at the same address.

Cause: an entry chooses an agent by the service and the labels that the agent last reported. A placement named neither, so the agent started it on whatever upstream it had by then: one that was on its way when the next upstream answered, and one that was held for an echo.

A placement now names the life of the upstream for which the agent was chosen, by the checksum that agents already report; of consecutive placements for one life only the first does. An agent returns what was placed for another life. Nothing has run then, so no attempt is spent, and the message that returns it has the load, the service and the labels of the new upstream. Runs that wait at the agent were returned before when a life ends, and an order to start reaches the life that it is for or none. Placements of an earlier release name no life and are accepted as before.

--- a/bergamotcourse/coordination/jobs/agent_link.py
+++ b/bergamotcourse/coordination/jobs/agent_link.py
@@ -73,6 +73,7 @@
         former_boot_runs: Runs that were placed at an earlier process of the agent.
         last_request: Job whose payload was last sent to the agent in this session.
         last_payload: That payload. A job may come again with another one.
+        last_life: Life of the upstream that was last sent to the agent in this session.
         least_transit_ms: Shortest time in transit of a message of the agent's process,
             plus the unknown difference between the two clocks.
     """
@@ -107,6 +108,7 @@
     former_boot_runs: set[RunKey] = field(default_factory=set)
     last_request: str = ""
     last_payload: str | None = None
+    last_life: LifeChecksum | None = None
     least_transit_ms: float = math.inf
 
     # Whether runs may be placed.
@@ -221,12 +223,16 @@
     def enqueue_placement(self, order: PlaceTask) -> None:
         """Append a placement to the stream.
 
-        Of consecutive placements of one job only the first carries the payload.
+        Of consecutive placements of one job only the first carries the payload, and of
+        those for one life of the upstream only the first names it.
         """
         sent = (self.last_request, self.last_payload)
         self.last_request, self.last_payload = order.request, order.payload
         if sent == (order.request, order.payload):
             order = structs.replace(order, payload=None)
+        last_life, self.last_life = self.last_life, order.life
+        if last_life == order.life:
+            order = structs.replace(order, life=None)
         self.outgoing.add(order)
 
     def remove_run(self, key: RunKey) -> Any:
@@ -299,7 +305,7 @@
         self.echo_ms = 0
         self.session_abandoned = False
         self.outgoing = OutgoingStream(self.outgoing.timer)
-        self.last_request, self.last_payload = "", None
+        self.last_request, self.last_payload, self.last_life = "", None, None
         self.incoming = IncomingStream()
         for key in self.placed:
             self.outgoing.add(WithdrawTask(key))
--- a/bergamotcourse/coordination/jobs/entry_contact.py
+++ b/bergamotcourse/coordination/jobs/entry_contact.py
@@ -19,7 +19,7 @@
     MAX_ACK_DELAY_SECONDS,
     RECENT_ENTRY_SECONDS,
 )
-from bergamotcourse.ids import LinkAddress
+from bergamotcourse.ids import NO_LIFE, LifeChecksum, LinkAddress
 from bergamotcourse.protocol.task_messages import EntryTurn, PlaceTask, TaskEnded
 
 UNRESPONSIVE_SECONDS = 0.5
@@ -51,6 +51,7 @@
             transit; 0 once the entry was told.
         held: Runs that arrived with too old an echo; they wait for a later one.
         last_payload: Payload of the last placement in this session.
+        last_life: Life of the upstream that the last placement in this session names.
         outgoing: Items to the entry.
         incoming: Items from the entry.
     """
@@ -70,6 +71,7 @@
     round_trip_ms: int = 0
     held: list[PlaceTask] = field(default_factory=list)
     last_payload: str = ""
+    last_life: LifeChecksum = NO_LIFE
     outgoing: OutgoingStream[TaskEnded] = field(default_factory=OutgoingStream)
     incoming: IncomingStream = field(default_factory=IncomingStream)
 
@@ -101,7 +103,9 @@
         """Hold a placement until it may be released."""
         if order.payload is None:
             order = structs.replace(order, payload=self.last_payload)
-        self.last_payload = order.payload
+        if order.life is None:
+            order = structs.replace(order, life=self.last_life)
+        self.last_payload, self.last_life = order.payload, order.life
         self.held.append(order)
 
     def release_held_runs(self) -> list[PlaceTask]:
@@ -130,7 +134,7 @@
         self.lease_end = None
         self.contact_logged = False
         self.held.clear()
-        self.last_payload = ""
+        self.last_payload, self.last_life = "", NO_LIFE
         self.unacknowledged_since = None
         self.incoming = IncomingStream()
         self.outgoing.restart_numbering()
--- a/bergamotcourse/coordination/jobs/executor.py
+++ b/bergamotcourse/coordination/jobs/executor.py
@@ -209,7 +209,7 @@
             return
         run = PlacedRun(order.key, entry, order, self.timers.now())
         self.registry.add(run)
-        refusal = self.refusal()
+        refusal = self._placement_refusal(order)
         if refusal is not None:
             self.registry.finish(run, RunOutcome.RETURNED, refusal)
             return
@@ -220,6 +220,17 @@
                 self._return_after, run, order.queue_timeout_ms / 1000
             )
 
+    def _placement_refusal(self, order: PlaceTask) -> str | None:
+        """Return why a placement is not accepted, or ``None`` if it is.
+
+        The entry has compared the needs of the task with what it knew of the upstream.
+        Another life may have begun while the placement was on its way.
+        """
+        refusal = self.refusal()
+        if refusal is None and order.life not in (NO_LIFE, self.answering_life()):
+            return "it was placed for a former upstream"
+        return refusal
+
     def withdraw(self, entry: LinkAddress, key: RunKey) -> None:
         """Stop a run, or bar it from starting if it is unknown here."""
         run = self.registry.runs.get(key)
--- a/bergamotcourse/coordination/jobs/job_dispatcher.py
+++ b/bergamotcourse/coordination/jobs/job_dispatcher.py
@@ -605,6 +605,7 @@
             slack_ms=round((job.start_by - now) * 1000),
             estimate=task.spec.estimate * job.factor * self._remote_factor_of(task),
             queue_timeout_ms=AGENT_QUEUE_TIMEOUT_MS,
+            life=link.room.life,
         )
         self.links.place(link, order, task.spec.needs, task)
         if self.had_waiting_jobs:
--- a/bergamotcourse/protocol/task_messages.py
+++ b/bergamotcourse/protocol/task_messages.py
@@ -37,6 +37,9 @@
         estimate: Estimated seconds of work on an upstream of speed 1.
         queue_timeout_ms: Milliseconds after which the agent returns a task that has not
             started.
+        life: The life of the upstream for which the agent was chosen: the next one may
+            be of another service, and have other labels. ``None`` if it is that of the
+            preceding placement in the stream; ``NO_LIFE`` if the entry does not say.
     """
 
     key: RunKey
@@ -46,6 +49,7 @@
     slack_ms: int
     estimate: float
     queue_timeout_ms: int
+    life: LifeChecksum | None = NO_LIFE
 
     def size(self) -> int:
         """Return about how many bytes it has when encoded."""
--- a/bergamotcourse/virtual/job_fleet.py
+++ b/bergamotcourse/virtual/job_fleet.py
@@ -87,9 +87,10 @@
     work: float = 0.2,
     estimate: float = 0.0,
     rack: str = "",
+    label: str = "",
 ) -> JobSpec:
     """Return a job whose payload has the seconds of work and the rack of its data."""
-    step = StepSpec(tasks, NEEDS, estimate or work, data_rack=rack)
+    step = StepSpec(tasks, NEEDS, estimate or work, label=label, data_rack=rack)
     payload = f"{work}{DATA_RACK_SEPARATOR}{rack}" if rack else str(work)
     return JobSpec(JobId(name), payload, (step,))
 
