--- a/bergamotcourse/standins/order_upstream.py
+++ b/bergamotcourse/standins/order_upstream.py
@@ -47,6 +47,7 @@
         leaving_seconds: Seconds between the agent learning that the upstream leaves
             and the start of this run.
         zone: The zone of the run; empty if it was not recorded.
+        labels: The labels of the upstream.
     """
 
     key: RunKey
@@ -60,6 +61,7 @@
     kind: EndKind | None = None
     leaving_seconds: float = 0.0
     zone: str = ""
+    labels: tuple[str, ...] = ()
 
 
 @dataclass
@@ -72,6 +74,7 @@
         fails: Whether each run ends as failed.
         unhealthy: Whether start orders are refused.
         unanswered: Share of orders that get no answer and are carried out late.
+        unanswered_stops: The same for stop orders only.
     """
 
     slowness: float = 1.0
@@ -79,6 +82,7 @@
     fails: bool = False
     unhealthy: bool = False
     unanswered: float = 0.0
+    unanswered_stops: float = 0.0
 
 
 class OrderUpstream:
@@ -228,7 +232,8 @@
         needs, work = self.work_of(order.payload)
         if self.enforces_capacity and not (self.used() + needs).fits(self.capacity):
             return StartReply(StartVerdict.NO_ROOM, clock)
-        run = Run(order.key, self.id, trio.current_time(), work, work, needs)
+        now = trio.current_time()
+        run = Run(order.key, self.id, now, work, work, needs, labels=self.labels)
         self.running[order.key] = run
         self.history.append(run)
         self.on_start(run)
--- a/bergamotcourse/tests/platform/cluster.py
+++ b/bergamotcourse/tests/platform/cluster.py
@@ -51,7 +51,15 @@
     }
 
 
-def make_job(number, work, tasks=3, prefix="/a/", caller_ms=CALLER_DEADLINE_MS):
+def make_job(
+    number,
+    work,
+    tasks=3,
+    prefix="/a/",
+    caller_ms=CALLER_DEADLINE_MS,
+    label="",
+    estimate=None,
+):
     """Return the request that submits a job.
 
     The stand-in workers read the seconds of work of each task from the job's spec.
@@ -60,8 +68,10 @@
         "count": tasks,
         "cpu": TASK_CPU,
         "mem_mb": TASK_MEM_MB,
-        "estimated_ms": work * 1000,
+        "estimated_ms": 1000 * (work if estimate is None else estimate),
     }
+    if label:
+        step["required_label"] = label
     body = {"spec": str(work), "best_effort": True, "steps": [step]}
     headers = [
         ("host", "one.example"),
@@ -218,13 +228,17 @@
         self.nursery.start_soon(worker.report_periodically, *control, REPORT_SECONDS)
 
     def make_upstream(
-        self, clock_rate: float = 1.0, former: OrderUpstream | None = None
+        self,
+        clock_rate: float = 1.0,
+        former: OrderUpstream | None = None,
+        labels: tuple[str, ...] = ("a", "rack-1"),
     ) -> OrderUpstream:
         """Return a new incarnation of a worker.
 
         Args:
             clock_rate: Rate of its clock relative to the real one.
             former: The former incarnation, whose id it gets.
+            labels: Its labels.
         """
         self.life_count += 1
         return OrderUpstream(
@@ -234,6 +248,7 @@
             parse_work,
             self.history,
             clock_rate,
+            labels=labels,
             incarnation=self.life_count,
             clock_began=trio.current_time() if former else 0.0,
         )
--- a/bergamotcourse/tests/platform/soak/__main__.py
+++ b/bergamotcourse/tests/platform/soak/__main__.py
@@ -38,6 +38,13 @@
     "--misreports", is_flag=True, help="Send agents late and incomplete reports."
 )
 @click.option("--throttles", is_flag=True, help="Give entries little processor time.")
+@click.option(
+    "--evacuates-together", is_flag=True, help="Change several zones at once."
+)
+@click.option("--loses-stops", is_flag=True, help="Leave stop orders unanswered.")
+@click.option(
+    "--changes-kinds", is_flag=True, help="Let workers come back with other labels."
+)
 @click.option("--entries", default=2, help="Number of entries.")
 @click.option("--agents", default=3, help="Number of agents.")
 @click.option(
@@ -57,6 +64,9 @@
     freezes_entries: bool,
     misreports: bool,
     throttles: bool,
+    evacuates_together: bool,
+    loses_stops: bool,
+    changes_kinds: bool,
     entries: int,
     agents: int,
     keep: Path | None,
@@ -76,6 +86,9 @@
             freezes_entries,
             misreports,
             throttles,
+            evacuates_together,
+            loses_stops,
+            changes_kinds,
             entries,
             agents,
         )
--- a/bergamotcourse/tests/platform/soak/callers.py
+++ b/bergamotcourse/tests/platform/soak/callers.py
@@ -11,6 +11,7 @@
 from bergamotcourse.tests.platform.soak.proxied_cluster import ProxiedCluster
 from bergamotcourse.tests.platform.soak.records import (
     DEFAULT_VARIANT,
+    KIND_LABELS,
     Attempt,
     CallerOutcome,
     Records,
@@ -56,6 +57,8 @@
         refusal_pause: Seconds for which they wait after a refusal.
         max_tasks: Most tasks of a job.
         task_seconds: The lengths of tasks.
+        estimate: Declared length of tasks in seconds; ``None`` for the true one.
+        labels: The labels of which each job requires one.
     """
 
     per_entry: int = 4
@@ -65,6 +68,8 @@
     refusal_pause: float = 0.0
     max_tasks: int = 6
     task_seconds: tuple[float, ...] = TASK_SECONDS
+    estimate: float | None = None
+    labels: tuple[str, ...] = ("",)
 
 
 IMPATIENT = Habits(
@@ -91,12 +96,31 @@
 few enough for the process that all stand-ins share."""
 
 
+RESUBMITTING = Habits(
+    per_entry=4,
+    timeout=1.0,
+    retried_outcomes=INTERRUPTED_OUTCOMES | {CallerOutcome.TIMED_OUT},
+    max_tasks=2,
+    task_seconds=(0.2, 0.4, 5.0),
+    estimate=0.2,
+)
+"""Habits where stop orders are lost: many jobs are not done in time, and run on until
+their stop or their lease ends them, while their callers submit them elsewhere."""
+
+REQUIRING = Habits(per_entry=8, task_seconds=SHORT_TASK_SECONDS, labels=KIND_LABELS)
+"""Habits where workers change their kind: many placements are always on their way."""
+
+
 def habits_in(variant: Variant) -> Habits:
     """Return the habits of the callers in a variant of the soak."""
     if variant.freezes_entries:
         return IMPATIENT
     if variant.throttles:
         return PRESSING
+    if variant.loses_stops:
+        return RESUBMITTING
+    if variant.changes_kinds:
+        return REQUIRING
     patient = PATIENT_CALLER_TIMEOUT_SECONDS
     return Habits(
         timeout=patient if variant.delays_orders else CALLER_TIMEOUT_SECONDS,
@@ -163,15 +187,29 @@
         work = self.rng.choice(self.habits.task_seconds)
         tasks = self.rng.randint(1, self.habits.max_tasks)
         caller_ms = int(self.habits.timeout * 1000)
-        request = make_job(number, work, tasks, caller_ms=caller_ms)
+        label = self._choose_label()
+        request = make_job(
+            number,
+            work,
+            tasks,
+            caller_ms=caller_ms,
+            label=label,
+            estimate=self.habits.estimate,
+        )
         job = request.target.rpartition("/")[2]
         self.records.tasks[job] = tasks
+        if label:
+            self.records.labels[job] = label
         for _ in range(MAX_ATTEMPTS):
             outcome = await self._attempt(job, request)
             if outcome not in self.habits.retried_outcomes:
                 return
             await trio.sleep(RESEND_SECONDS)
 
+    def _choose_label(self) -> str:
+        labels = self.habits.labels
+        return self.rng.choice(labels) if len(labels) > 1 else labels[0]
+
     async def _attempt(self, job, request) -> CallerOutcome:
         if self.client is None or not self.client.idle:
             await self._choose_entry()
@@ -193,12 +231,18 @@
     async def _choose_entry(self) -> None:
         await self._disconnect()
         names = [entry.name for entry in self.callers.cluster.entries()]
-        if self.last_outcome is CallerOutcome.NO_RESPONSE and len(names) > 1:
+        if self._goes_elsewhere() and len(names) > 1:
             names.remove(self.entry)
         self.entry = self.rng.choice(names)
         proxy = self.callers.cluster.proxies[f"front of {self.entry}"]
         self.client = HttpClient(proxy.host, proxy.port)
 
+    def _goes_elsewhere(self) -> bool:
+        """Return whether the next entry must not be the last one."""
+        if self.last_outcome is CallerOutcome.TIMED_OUT:
+            return CallerOutcome.TIMED_OUT in self.habits.retried_outcomes
+        return self.last_outcome is CallerOutcome.NO_RESPONSE
+
     async def _disconnect(self) -> None:
         if self.client is not None:
             await self.client.aclose()
--- a/bergamotcourse/tests/platform/soak/faults.py
+++ b/bergamotcourse/tests/platform/soak/faults.py
@@ -12,6 +12,8 @@
 from bergamotcourse.tests.platform.soak.proxy import Direction, Proxy
 from bergamotcourse.tests.platform.soak.records import (
     DEFAULT_VARIANT,
+    KIND_LABELS,
+    RACK_LABEL,
     Disruption,
     Evacuation,
     Records,
@@ -56,6 +58,15 @@
 FAULT_INTERVAL_SECONDS = (0.05, 1.0)
 FAULT_SECONDS = (0.05, 2.5)
 EVACUATION_SECONDS = (0.5, 9.0)
+JOINT_EVACUATION_SECONDS = (5.5, 8.0)
+"""Longer than the time after which nothing may start in an evacuated zone."""
+
+LOST_STOPS_SECONDS = (1.0, 4.0)
+LOST_STOPS_SHARE = (0.9, 1.0)
+CALM_STOPS_SECONDS = (0.2, 1.5)
+BOOT_SECONDS = (0.0, 0.1)
+"""Time until a worker that changes its kind answers again."""
+
 DELAYED_ORDERS_SECONDS = (0.5, 3.0)
 DELAYED_ORDERS_SHARE = (0.5, 0.8)
 DELAY_SECONDS = (0.01, 0.4)
@@ -112,6 +123,8 @@
             self.kinds += (self._misreport,) * EXTRA_VARIANT_WEIGHT
         if variant.throttles:
             self.kinds += (self._throttle_entry,) * EXTRA_VARIANT_WEIGHT
+        if variant.changes_kinds:
+            self.kinds += (self._change_kind,) * EXTRA_VARIANT_WEIGHT
         if variant.deafens:
             self.kinds += (self._deafen, self._configure)
 
@@ -121,6 +134,10 @@
         async with trio.open_nursery() as nursery:
             if self.variant.evacuates:
                 nursery.start_soon(self._evacuate_in_turn, ends_at)
+            if self.variant.evacuates_together:
+                nursery.start_soon(self._evacuate_together, ends_at)
+            if self.variant.loses_stops:
+                nursery.start_soon(self._lose_stops_in_turn, ends_at)
             if self.variant.delays_orders:
                 nursery.start_soon(self._delay_orders_in_turn, ends_at)
             if self.variant.announces_leaving:
@@ -240,10 +257,18 @@
     async def _pause_node(
         self, node: Node, rng: random.Random, seconds: tuple[float, float]
     ) -> None:
+        async with self._freeze(node):
+            await trio.sleep(rng.uniform(*seconds))
+
+    @asynccontextmanager
+    async def _freeze(self, node: Node):
+        """Keep a process paused meanwhile."""
         async with self._record_disruption(node.name):
             node.send_signal(signal.SIGSTOP)
-            await trio.sleep(rng.uniform(*seconds))
-            node.send_signal(signal.SIGCONT)
+            try:
+                yield
+            finally:
+                node.send_signal(signal.SIGCONT)
 
     async def _stop(self, rng: random.Random) -> None:
         async with self._reserve_process(rng) as node:
@@ -355,6 +380,47 @@
         for worker in self.cluster.workers.values():
             worker.upstream.behaviour.unanswered = share
 
+    async def _lose_stops_in_turn(self, ends_at: float) -> None:
+        """Leave most stop orders of all workers unanswered in turn."""
+        rng = random.Random(self.rng.getrandbits(64))
+        while trio.current_time() < ends_at:
+            self.records.count("lose_stops")
+            share = rng.uniform(*LOST_STOPS_SHARE)
+            for worker in self.cluster.workers.values():
+                worker.upstream.behaviour.unanswered_stops = share
+            await trio.sleep(rng.uniform(*LOST_STOPS_SECONDS))
+            for worker in self.cluster.workers.values():
+                worker.upstream.behaviour.unanswered_stops = 0.0
+            await trio.sleep(rng.uniform(*CALM_STOPS_SECONDS))
+
+    async def _change_kind(self, rng: random.Random) -> None:
+        """Crash workers; the next boots answer soon, with another label.
+
+        Some entries are frozen meanwhile.
+        """
+        async with AsyncExitStack() as stack:
+            if rng.random() < 0.5:
+                node = await stack.enter_async_context(
+                    self._reserve_process(rng, "entry")
+                )
+                if node is not None:
+                    await stack.enter_async_context(self._freeze(node))
+            for worker in self._some_workers(rng):
+                worker.upstream.crash()
+                await trio.sleep(rng.uniform(*BOOT_SECONDS))
+                label = rng.choice(KIND_LABELS)
+                upstream = self.cluster.make_upstream(labels=(label, RACK_LABEL))
+                worker.begin_life(upstream)
+                self.cluster.nursery.start_soon(upstream.run)
+                self.cluster.nursery.start_soon(worker.report_once)
+            await trio.sleep(rng.uniform(*FAULT_INTERVAL_SECONDS))
+
+    def _some_workers(self, rng: random.Random) -> list[HttpWorker]:
+        """Return a few workers that do not leave, in a random order."""
+        workers = [worker for _, worker in sorted(self.cluster.workers.items())]
+        staying = [worker for worker in workers if not worker.upstream.draining]
+        return rng.sample(staying, min(len(staying), rng.randint(1, 2)))
+
     async def _replace_worker(self, rng: random.Random) -> None:
         """Drain or crash a worker, and start a new incarnation at its address."""
         worker = rng.choice(sorted(self.cluster.workers.items()))[1]
@@ -429,6 +495,26 @@
             self.records.evacuations.append(evacuation)
             await trio.sleep(rng.uniform(*FAULT_INTERVAL_SECONDS))
 
+    async def _evacuate_together(self, ends_at: float) -> None:
+        """Evacuate zones, and return others to service in the same transaction."""
+        rng = random.Random(self.rng.getrandbits(64))
+        zones = self.cluster.zones
+        begun_at: dict[str, float] = {}
+        while trio.current_time() < ends_at or begun_at:
+            is_over = trio.current_time() >= ends_at
+            wanted = set() if is_over else set(rng.sample(zones, rng.randint(1, 2)))
+            ended = sorted(set(begun_at) - wanted)
+            begun = sorted(wanted - set(begun_at))
+            self.records.count("evacuate_together")
+            self.cluster.change_evacuations(begun, ended)
+            now = trio.current_time()
+            for zone in ended:
+                evacuation = Evacuation(zone, begun_at.pop(zone), now)
+                self.records.evacuations.append(evacuation)
+            begun_at |= dict.fromkeys(begun, now)
+            if wanted:
+                await trio.sleep(rng.uniform(*JOINT_EVACUATION_SECONDS))
+
     async def _configure(self, rng: random.Random) -> None:
         """Change the configuration several times in quick succession."""
         for _ in range(rng.randint(1, 4)):
--- a/bergamotcourse/tests/platform/soak/records.py
+++ b/bergamotcourse/tests/platform/soak/records.py
@@ -3,6 +3,11 @@
 from dataclasses import dataclass, field
 from enum import Enum
 
+KIND_LABELS = ("a", "b")
+"""The labels that workers have, and jobs require, where workers change their kind."""
+
+RACK_LABEL = "rack-1"
+
 
 class CallerOutcome(Enum):
     """Outcome of one attempt, as the caller saw it."""
@@ -67,6 +72,12 @@
         misreports: Agents receive late reports of crashed workers and incomplete ones
             of other programs, and workers restart at other addresses.
         throttles: Entries get little processor time while many callers submit jobs.
+        evacuates_together: The processes run in three zones, several of which are
+            evacuated and returned to service in one transaction.
+        loses_stops: Workers leave most of their stop orders unanswered in turn, while
+            callers whose jobs are not done in time submit them again.
+        changes_kinds: Workers come back at once with another label, and callers require
+            one of the labels.
         entries: Number of entries.
         agents: Number of agents.
     """
@@ -80,6 +91,9 @@
     freezes_entries: bool = False
     misreports: bool = False
     throttles: bool = False
+    evacuates_together: bool = False
+    loses_stops: bool = False
+    changes_kinds: bool = False
     entries: int = 2
     agents: int = 3
 
@@ -125,6 +139,8 @@
     faults: dict[str, int] = field(default_factory=dict)
     tasks: dict[str, int] = field(default_factory=dict)
     """Number of tasks by job id."""
+    labels: dict[str, str] = field(default_factory=dict)
+    """Required label by job id, of the jobs that require one."""
 
     def count(self, fault: str) -> None:
         """Increment the count of a kind of fault."""
--- a/bergamotcourse/tests/platform/soak/run.py
+++ b/bergamotcourse/tests/platform/soak/run.py
@@ -19,7 +19,7 @@
 )
 from bergamotcourse.transport.http import HttpRequest
 
-ZONES = ("north", "south")
+ZONES = ("north", "south", "east")
 
 RECOVERY_SECONDS = 90.0
 """Limit on recovery after the faults, generous for a busy machine."""
@@ -40,6 +40,13 @@
     summary: dict[str, dict[str, int]]
 
 
+def zones_in(variant: Variant) -> tuple[str, ...]:
+    """Return the zones of the processes in a variant of the soak."""
+    if variant.evacuates_together:
+        return ZONES
+    return ZONES[:2] if variant.evacuates else ZONES[:1]
+
+
 async def run_soak(
     seed: int,
     seconds: float,
@@ -55,7 +62,7 @@
         variant: What the soak does in addition to the default.
     """
     async with trio.open_nursery() as nursery:
-        zones = ZONES if variant.evacuates else ZONES[:1]
+        zones = zones_in(variant)
         cluster = ProxiedCluster(folder, nursery, zones)
         try:
             result = await soak(cluster, seed, seconds, variant)
--- a/bergamotcourse/tests/platform/soak/test_soak.py
+++ b/bergamotcourse/tests/platform/soak/test_soak.py
@@ -74,3 +74,18 @@
     def test_no_violations_while_workers_delay_orders(self, seed, tmp_path):
         variant = Variant(delays_orders=True)
         assert_no_violations(seed, 10.0, tmp_path, variant, "delay_orders")
+
+    @pytest.mark.parametrize("seed", [9002])
+    def test_no_violations_while_workers_lose_stop_orders(self, seed, tmp_path):
+        variant = Variant(loses_stops=True, agents=6)
+        assert_no_violations(seed, 8.0, tmp_path, variant, "lose_stops")
+
+    @pytest.mark.parametrize("seed", [9001])
+    def test_no_violations_while_zones_change_together(self, seed, tmp_path):
+        variant = Variant(evacuates_together=True, agents=6)
+        assert_no_violations(seed, 10.0, tmp_path, variant, "evacuate_together")
+
+    @pytest.mark.parametrize("seed", [9002])
+    def test_no_violations_when_workers_change_their_kind(self, seed, tmp_path):
+        variant = Variant(changes_kinds=True, agents=6)
+        assert_no_violations(seed, 8.0, tmp_path, variant, "change_kind")
--- a/bergamotcourse/tests/platform/soak/test_verdict.py
+++ b/bergamotcourse/tests/platform/soak/test_verdict.py
@@ -119,6 +119,14 @@
         records.evacuations = [evacuation]
         assert find_violations(records, [run]) == []
 
+    @pytest.mark.parametrize("label, found", [("a", 0), ("b", 1), ("", 0)])
+    def test_start_without_the_required_label_is_reported(self, label, found):
+        run = make_run(1, 0.0, 1.0)
+        run.labels = ("a", "rack-1")
+        records = make_records(CallerOutcome.SUCCEEDED)
+        records.labels = {JOB: label}
+        assert len(find_violations(records, [run])) == found
+
     def test_run_of_unsubmitted_job_is_reported(self):
         lines = find_violations(Records(), [make_run(1, 0.0, 1.0)])
         assert lines == [f"nobody asked for {JOB}"]
--- a/bergamotcourse/tests/platform/soak/verdict.py
+++ b/bergamotcourse/tests/platform/soak/verdict.py
@@ -50,6 +50,7 @@
         *find_abandoned_starts(records, history),
         *find_late_starts(history),
         *find_evacuated_starts(records, history),
+        *find_misplaced_starts(records, history),
         *find_unexplained_failures(records, history),
         *find_unexpected_statuses(records.attempts),
         *find_lasting_overloads(records),
@@ -169,6 +170,16 @@
     return lines
 
 
+def find_misplaced_starts(records: Records, history: list[Run]) -> list[str]:
+    """Return the starts on a worker without the label that the job requires."""
+    lines = []
+    for run in history:
+        label = records.labels.get(job_id_of_task(run.key.task), "")
+        if label and label not in run.labels:
+            lines.append(f"started on {run.upstream} without {label}: {run.key.task}")
+    return lines
+
+
 def outage_within(records: Records, evacuation: Evacuation) -> float:
     """Return for how long the store refused all calls during an evacuation."""
     overlaps = (
--- a/bergamotcourse/tests/platform/standins.py
+++ b/bergamotcourse/tests/platform/standins.py
@@ -120,6 +120,7 @@
     Attributes:
         nursery: Runs the orders that are carried out late.
         zone: The zone that it reports.
+        control: The address of its agent that receives its reports.
         life_by_connection: The incarnation that accepted each connection, which is
             not served after that incarnation.
         drain_reported_at: When the agent accepted this incarnation's first report that
@@ -131,6 +132,7 @@
         self.nursery = nursery
         self.zone = zone
         self.address = ""
+        self.control = ("", 0)
         self.life_by_connection = {}
         self.drain_reported_at = None
 
@@ -147,12 +149,19 @@
         if request.header("bergamotcourse-expected-instance") != self.upstream.id:
             return HttpResponse(421)
         order = request.target.rpartition("/")[2]
-        if life.rng.random() < life.behaviour.unanswered:
+        if life.rng.random() < self.unanswered_share(life, order):
             # The client's disconnect cancels this handler, but not the order.
             self.nursery.start_soon(self.carry_out_late, life, order, body)
             await trio.sleep_forever()
         return await self.carry_out(order, body)
 
+    def unanswered_share(self, life, order):
+        """Return the share of the orders of a kind that get no answer."""
+        behaviour = life.behaviour
+        if order == "run-stop":
+            return max(behaviour.unanswered, behaviour.unanswered_stops)
+        return behaviour.unanswered
+
     async def carry_out_late(self, life, order, body):
         await trio.sleep(life.rng.uniform(*LATE_EXECUTION_SECONDS))
         if not life.down:
@@ -223,10 +232,23 @@
         return int(self.upstream.clock() * 1000)
 
     async def report_periodically(self, host, port, seconds):
-        """Send the worker's report every so many seconds."""
+        """Send the worker's report to its agent every so many seconds."""
+        self.control = (host, port)
         client = HttpClient(host, port)
         try:
-            await self._send_reports(client, seconds)
+            while True:
+                if not self.upstream.down:
+                    await self._send_report(client)
+                await trio.sleep(seconds)
+        finally:
+            with trio.CancelScope(shield=True):
+                await client.aclose()
+
+    async def report_once(self):
+        """Send a report to the same agent on a separate connection."""
+        client = HttpClient(*self.control)
+        try:
+            await self._send_report(client)
         finally:
             with trio.CancelScope(shield=True):
                 await client.aclose()
@@ -243,7 +265,7 @@
             "state": "draining" if upstream.draining else "ready",
             "cold_remaining_ms": 0,
             "capacity": {"cpu": upstream.capacity.cpu, "mem_mb": 65536},
-            "labels": ["a", "r1"],
+            "labels": list(upstream.labels),
             "clock_ms": int(upstream.clock() * 1000),
             "sequence": upstream.reports,
         }
@@ -253,16 +275,11 @@
             body["remaining_ms"] = round(left * 1000)
         return body
 
-    async def _send_reports(self, client, seconds):
-        while True:
-            if self.upstream.down:
-                await trio.sleep(seconds)
-                continue
-            upstream = self.upstream
-            body = self.report_body(upstream)
-            request = report_request(upstream.id, body)
-            answer = await client.request(request, REPORT_TIMEOUT_SECONDS)
-            taken = answer.is_ok() and answer.ok.status == 200
-            if taken and body["state"] == "draining" and upstream is self.upstream:
-                self.drain_reported_at = self.drain_reported_at or trio.current_time()
-            await trio.sleep(seconds)
+    async def _send_report(self, client):
+        upstream = self.upstream
+        body = self.report_body(upstream)
+        request = report_request(upstream.id, body)
+        answer = await client.request(request, REPORT_TIMEOUT_SECONDS)
+        taken = answer.is_ok() and answer.ok.status == 200
+        if taken and body["state"] == "draining" and upstream is self.upstream:
+            self.drain_reported_at = self.drain_reported_at or trio.current_time()
