--- a/bergamotcourse/coordination/jobs/executor.py
+++ b/bergamotcourse/coordination/jobs/executor.py
@@ -63,8 +63,8 @@
 lost, this pauses starts for 0.1 s in ten seconds."""
 
 MIN_START_LEASE_SECONDS = UPSTREAM_LEASE_SECONDS / 2
-"""Shortest rest of a lease that may not be renewed for now with which a run is started:
-with less, the run would probably lapse."""
+"""Least time left of a lease, while it may not be renewed, with which a run is started.
+With less, the run would probably end with the lease."""
 
 IDLE_RETRY_SECONDS = 0.25
 """Delay before the next hold to a silent upstream on which nothing runs."""
@@ -313,8 +313,9 @@
     def _starts_paused(self) -> bool:
         """Return whether starts are paused, as the lease may be about to expire.
 
-        Each start order renews the lease of an upstream that may be lost. Queued runs
-        can be placed on other upstreams meanwhile.
+        That is so if several holds had no answer: each start order renews the lease of
+        an upstream that may be lost. It is also so if the lease may not be renewed and
+        little of it is left. Queued runs can be placed on other upstreams meanwhile.
         """
         too_many_failed = self.life.failed_holds >= START_PAUSE_FAILED_HOLDS
         if self.policy.doubts_at_once and too_many_failed:
--- a/bergamotcourse/coordination/jobs/task_runs.py
+++ b/bergamotcourse/coordination/jobs/task_runs.py
@@ -77,9 +77,9 @@
 
     @property
     def is_withdrawal_unanswered(self) -> bool:
-        """Return whether it is withdrawn and only unanswered stops were ordered."""
-        is_answered = self.is_stop_confirmed or not self.unanswered_stops
-        return self.is_withdrawn and not is_answered
+        """Return whether it is withdrawn and its stop orders had no answer so far."""
+        is_unanswered = self.unanswered_stops > 0 and not self.is_stop_confirmed
+        return self.is_withdrawn and is_unanswered
 
     def rank(self) -> tuple[float, float]:
         """Return the sort key in the queue; the lowest starts first."""
