Let callers require labels in each combination of soak variants

With `--loses-stops` the callers of `--changes-kinds` required none, so that eight soaks had no check of labels.

--- a/bergamotcourse/tests/platform/soak/callers.py
+++ b/bergamotcourse/tests/platform/soak/callers.py
@@ -2,7 +2,7 @@
 
 import itertools
 import random
-from dataclasses import dataclass
+from dataclasses import dataclass, replace
 
 import trio
 from expression import Result
@@ -107,12 +107,18 @@
 """Habits where stop orders are lost: many jobs are not done in time, and run on until
 their stop or their lease ends them, while their callers submit them elsewhere."""
 
-REQUIRING = Habits(per_entry=8, task_seconds=SHORT_TASK_SECONDS, labels=KIND_LABELS)
+REQUIRING = Habits(per_entry=8, task_seconds=SHORT_TASK_SECONDS)
 """Habits where workers change their kind: many placements are always on their way."""
 
 
 def habits_in(variant: Variant) -> Habits:
     """Return the habits of the callers in a variant of the soak."""
+    habits = timing_habits_in(variant)
+    return replace(habits, labels=KIND_LABELS) if variant.changes_kinds else habits
+
+
+def timing_habits_in(variant: Variant) -> Habits:
+    """Return these habits without the labels that jobs require."""
     if variant.freezes_entries:
         return IMPATIENT
     if variant.throttles:
