--- a/bergamotcourse/tests/jobs/test_unanswered_stops.py
+++ b/bergamotcourse/tests/jobs/test_unanswered_stops.py
@@ -11,11 +11,10 @@
 from bergamotcourse.protocol.upstream_orders import EndKind
 from bergamotcourse.state.job_spec import job_id_of_task
 from bergamotcourse.tests.jobs.chaos import CALLER_RETRY_SECONDS
-from bergamotcourse.tests.jobs.fleets import run_fleet, runs_of
+from bergamotcourse.tests.jobs.fleets import run_fleet, runs_of, submit_all_the_time
 from bergamotcourse.virtual.job_fleet import QUEUE, job
 
 LONG_SECONDS = 6.0
-LOAD_SECONDS = 0.4
 
 CALLER_TIMEOUT_SECONDS = 0.6
 """Timeout of a caller whose job takes longer."""
@@ -64,16 +63,6 @@
             await trio.sleep(0.001)
 
 
-async def submit_all_the_time(fleet, entry):
-    """Keep the upstreams busy with runs for which their leases are renewed."""
-    number = 0
-    while True:
-        number += 1
-        spec = job(f"{entry}-load-{number}", tasks=2, work=LOAD_SECONDS)
-        fleet.nursery.start_soon(fleet.submit, entry, spec)
-        await trio.sleep(0.05)
-
-
 async def start_long_job(fleet, seconds=30.0):
     """Submit a long job at the first entry, and wait until it runs."""
     spec = job("a", tasks=1, work=LONG_SECONDS, estimate=0.3)
@@ -106,7 +95,7 @@
             lose_stops(fleet, "a", UNANSWERED_SECONDS)
             await start_long_job(fleet, CALLER_TIMEOUT_SECONDS)
             if busy:
-                fleet.nursery.start_soon(submit_all_the_time, fleet, "entry-2")
+                fleet.nursery.start_soon(submit_all_the_time, fleet, "entry-2", 2, 0.05)
             await trio.sleep(CALLER_TIMEOUT_SECONDS + CALLER_RETRY_SECONDS)
             assert [run.kind for run in runs_of(fleet, "a")] == [EndKind.LAPSED]
             await resubmit(fleet)
@@ -120,7 +109,7 @@
         async def main(fleet):
             lose_stops(fleet, "a", BRIEFLY_UNANSWERED_SECONDS)
             await start_long_job(fleet, CALLER_TIMEOUT_SECONDS)
-            fleet.nursery.start_soon(submit_all_the_time, fleet, "entry-2")
+            fleet.nursery.start_soon(submit_all_the_time, fleet, "entry-2", 2, 0.05)
             await trio.sleep(CALLER_TIMEOUT_SECONDS + CALLER_RETRY_SECONDS)
             assert [run.kind for run in runs_of(fleet, "a")] == [EndKind.STOPPED]
             assert lapsed_load(fleet) == []
@@ -167,7 +156,7 @@
         async def main(fleet):
             lose_stops(fleet, "a", UNANSWERED_SECONDS)
             await start_long_job(fleet)
-            fleet.nursery.start_soon(submit_all_the_time, fleet, "entry-2")
+            fleet.nursery.start_soon(submit_all_the_time, fleet, "entry-2", 2, 0.05)
             fleet.entries["entry-1"].kill()
             await trio.sleep(CALLER_RETRY_SECONDS)
             await resubmit(fleet)
@@ -182,7 +171,7 @@
         async def main(fleet):
             lose_stops(fleet, "a", UNANSWERED_SECONDS)
             await start_long_job(fleet, CALLER_TIMEOUT_SECONDS)
-            fleet.nursery.start_soon(submit_all_the_time, fleet, "entry-2")
+            fleet.nursery.start_soon(submit_all_the_time, fleet, "entry-2", 2, 0.05)
             await trio.sleep(CALLER_TIMEOUT_SECONDS)
             if entry_lost:
                 fleet.entries["entry-1"].kill()
@@ -226,7 +215,7 @@
         async def main(fleet):
             lose_stops(fleet, "a", UNANSWERED_SECONDS)
             await start_long_job(fleet)
-            fleet.nursery.start_soon(submit_all_the_time, fleet, "entry-2")
+            fleet.nursery.start_soon(submit_all_the_time, fleet, "entry-2", 2, 0.05)
             (run,) = runs_of(fleet, "a")
             agent = run.upstream.removeprefix("upstream-").rpartition("-")[0]
             fleet.network.cut("tcp://entry-1", f"tcp://{agent}")
--- a/bergamotcourse/tests/jobs/test_unclaimed_runs.py
+++ b/bergamotcourse/tests/jobs/test_unclaimed_runs.py
@@ -6,22 +6,11 @@
 from bergamotcourse.coordination.jobs.job_run import JobOutcome
 from bergamotcourse.protocol.upstream_orders import EndKind, RunKey
 from bergamotcourse.tests.jobs.chaos import CALLER_RETRY_SECONDS
-from bergamotcourse.tests.jobs.fleets import run_fleet, runs_of
+from bergamotcourse.tests.jobs.fleets import run_fleet, runs_of, submit_all_the_time
 from bergamotcourse.virtual.job_fleet import job
 
 RESTART_SECONDS = 0.05
 WORK_SECONDS = 1.8
-LOAD_WORK_SECONDS = 0.4
-
-
-async def submit_all_the_time(fleet, entry):
-    """Keep the agents busy, so that new processes of them order starts at once."""
-    number = 0
-    while True:
-        number += 1
-        spec = job(f"{entry}-load-{number}", tasks=8, work=LOAD_WORK_SECONDS)
-        fleet.nursery.start_soon(fleet.submit, entry, spec)
-        await trio.sleep(0.1)
 
 
 async def start_job(fleet, name="a", tasks=4):
@@ -59,7 +48,7 @@
         """
 
         async def main(fleet):
-            fleet.nursery.start_soon(submit_all_the_time, fleet, "entry-2")
+            fleet.nursery.start_soon(submit_all_the_time, fleet, "entry-2", 8, 0.1)
             await start_job(fleet)
             agents = list(fleet.agents)
             if entry_after < 0:
--- a/bergamotcourse/tests/platform/soak/faults.py
+++ b/bergamotcourse/tests/platform/soak/faults.py
@@ -396,7 +396,7 @@
     async def _change_kind(self, rng: random.Random) -> None:
         """Crash workers; the next boots answer soon, with another label.
 
-        Some entries are frozen meanwhile.
+        In half of the cases an entry is frozen meanwhile.
         """
         async with AsyncExitStack() as stack:
             if rng.random() < 0.5:
