--- a/bergamotcourse/tests/jobs/test_unanswered_stops.py
+++ b/bergamotcourse/tests/jobs/test_unanswered_stops.py
@@ -150,14 +150,15 @@
 
 
 class TestRunOfLostEntry:
-    def test_has_ended_when_its_caller_submits_the_job_again(self):
+    @pytest.mark.parametrize("fault", ["kill", "freeze"])
+    def test_has_ended_when_its_caller_submits_the_job_again(self, fault):
         """Guards against stops after the loss of contact that outlast the lease."""
 
         async def main(fleet):
             lose_stops(fleet, "a", UNANSWERED_SECONDS)
             await start_long_job(fleet)
             fleet.nursery.start_soon(submit_all_the_time, fleet, "entry-2", 2, 0.05)
-            fleet.entries["entry-1"].kill()
+            getattr(fleet.entries["entry-1"], fault)()
             await trio.sleep(CALLER_RETRY_SECONDS)
             await resubmit(fleet)
             assert fleet.overlaps() == []
