Log what each call for a job is answered, and that it joined a known job

A job's outcome was logged once, as it was removed. Whether a call was told that outcome, on which connection, and whether it had joined a job that already had one, could not be seen, so an answer that belongs to another call looked like one that the job's own outcome explains.

job.joined has the age of the known job, its number of waiting calls and its outcome; job.answered has the outcome and status that one call is told, the number of its connection and the size of the body.

--- a/bergamotcourse/coordination/jobs/job_dispatcher.py
+++ b/bergamotcourse/coordination/jobs/job_dispatcher.py
@@ -166,6 +166,8 @@
         job = self.jobs.get(spec.id)
         if job is None:
             job = self._admit(spec, queue, seconds)
+        else:
+            self._log_joined(job)
         job.callers.append(is_abandoned)
         try:
             await self._await_outcome(job, seconds - RESPONSE_MARGIN_SECONDS)
@@ -373,6 +375,15 @@
             self.placement_round.request()
         return job
 
+    def _log_joined(self, job: JobRun) -> None:
+        self.log.write(
+            "job.joined",
+            request=job.spec.id,
+            calls=len(job.callers),
+            outcome=job.outcome.value if job.outcome else "",
+            age_ms=round((self.timers.now() - job.arrived) * 1000),
+        )
+
     def _refuse_if_unservable(self, job: JobRun, seconds_left: float) -> None:
         """Refuse a job that certainly cannot be served.
 
--- a/bergamotcourse/coordination/jobs/job_service.py
+++ b/bergamotcourse/coordination/jobs/job_service.py
@@ -99,6 +99,32 @@
         job = await self.jobs.submit(spec, queue, seconds, is_abandoned)
         return JobAnswer(job.outcome, job.why, job.retry_after)
 
+    def log_response(
+        self,
+        job_id: JobId,
+        answer: JobAnswer,
+        status: int,
+        connection: int,
+        body_bytes: int,
+    ) -> None:
+        """Log the response to one call that submitted a job.
+
+        Args:
+            job_id: The job.
+            answer: The answer that the response was made from.
+            status: The status of the response.
+            connection: The number of the connection on which the call came.
+            body_bytes: The size of the response's body.
+        """
+        self.log.write(
+            "job.answered",
+            request=job_id,
+            outcome=answer.outcome.value if answer.outcome else "",
+            status=status,
+            connection=connection,
+            body_bytes=body_bytes,
+        )
+
     def state(self, job_id: JobId) -> JobState | None:
         """Return the state of a job, or ``None`` if this entry does not know it."""
         job = self.jobs.jobs.get(job_id)
--- a/bergamotcourse/platform/callers.py
+++ b/bergamotcourse/platform/callers.py
@@ -66,17 +66,20 @@
     async def _submit(
         self, request: HttpRequest, queue: JobQueue, job_id: JobId
     ) -> HttpResponse:
-        refusal = self.service.refuse_if_overloaded(job_id)
-        if refusal is not None:
-            return job_response(refusal)
-        try:
-            spec = decode_job(job_id, request.body)
-        except ValueError as error:
-            return plain_problem(400, f"malformed job: {error}")
-        answer = await self.service.submit(
-            spec, queue, caller_deadline_seconds(request), request.is_abandoned
+        answer = self.service.refuse_if_overloaded(job_id)
+        if answer is None:
+            try:
+                spec = decode_job(job_id, request.body)
+            except ValueError as error:
+                return plain_problem(400, f"malformed job: {error}")
+            answer = await self.service.submit(
+                spec, queue, caller_deadline_seconds(request), request.is_abandoned
+            )
+        response = job_response(answer)
+        self.service.log_response(
+            job_id, answer, response.status, request.connection, len(response.body)
         )
-        return job_response(answer)
+        return response
 
 
 class ReadinessHandler:
--- a/bergamotcourse/tests/platform/test_caller_requests.py
+++ b/bergamotcourse/tests/platform/test_caller_requests.py
@@ -186,3 +186,22 @@
         front = ReadinessHandler(lambda: ready)
         response = trio.run(front.handle, HttpRequest("GET", "/bergamotcourse/ready"))
         assert response.status == status
+
+
+class TestLoggedResponses:
+    def test_each_call_for_a_job_is_logged_with_what_it_was_told(self):
+        async def main(fleet):
+            front = make_front(fleet)
+            events = []
+            front.service.log.sink = lambda kind, fields: events.append((kind, fields))
+            async with trio.open_nursery() as nursery:
+                for _ in range(2):
+                    nursery.start_soon(ask, front, "POST", f"/a/{ID}", JOB)
+            told = [fields for kind, fields in events if kind == "job.answered"]
+            joined = fleet.logged("job.joined")
+            assert [(one["outcome"], one["status"]) for one in told] == [
+                ("succeeded", 200)
+            ] * 2
+            assert [(one["request"], one["calls"]) for one in joined] == [(ID, 1)]
+
+        run_fleet(main)
--- a/bergamotcourse/tests/platform/test_processes.py
+++ b/bergamotcourse/tests/platform/test_processes.py
@@ -56,7 +56,12 @@
                 await trio.sleep(0.3)
                 logged = [e for e in entry.events() if "request" in e]
                 kinds = {e["event"] for e in logged if e["request"] == f"{1:016x}"}
-                assert kinds == {"job.taken", "task.placed", "job.settled"}
+                assert kinds == {
+                    "job.taken",
+                    "task.placed",
+                    "job.settled",
+                    "job.answered",
+                }
 
         trio.run(main)
 
