Answer a call for a cancelled job as failed

A caller whose job was cancelled at the same entry while it waited for the answer got 200 with the state "cancelled". A submission is answered 200 only with "succeeded" or "failed": the state of an accepted job could not be read.

Cause: the table of HTTP statuses mapped three of a job's five outcomes to 200, and the outcome's own name became the state. Outcomes that a job has inside the dispatcher and states that a caller may be told were one set.

The response is now made by cases that name each state that leaves the process. A cancelled job is failed: 503 would say that it has not run, which isn't known, and after 504 callers submit it again, so that it would run after its cancellation.

Both tests failed before: {'state': 'cancelled'} != {'state': 'failed'}, and for the one of five outcomes that is neither.

--- a/bergamotcourse/platform/callers.py
+++ b/bergamotcourse/platform/callers.py
@@ -24,14 +24,6 @@
 
 NOT_READY_RETRY_SECONDS = 1.0
 
-HTTP_STATUS_BY_OUTCOME = {
-    JobOutcome.SUCCEEDED: 200,
-    JobOutcome.FAILED: 200,
-    JobOutcome.CANCELLED: 200,
-    JobOutcome.REFUSED: 503,
-    JobOutcome.TIMED_OUT: 504,
-}
-
 
 class CallerRequestHandler:
     """Handles callers' requests to submit, query and cancel jobs."""
@@ -104,13 +96,19 @@
 
 def job_response(answer: JobAnswer) -> HttpResponse:
     """Return the response to the caller that submitted a job."""
-    if answer.outcome is None:
-        return plain_problem(409, answer.why)
-    status = HTTP_STATUS_BY_OUTCOME[answer.outcome]
-    if status == 200:
-        return json_answer({"state": answer.outcome.value})
-    retry_after = answer.retry_after if status == 503 else None
-    return plain_problem(status, answer.why, retry_after)
+    match answer.outcome:
+        case JobOutcome.SUCCEEDED:
+            return json_answer({"state": "succeeded"})
+        case JobOutcome.FAILED | JobOutcome.CANCELLED:
+            # A cancelled job may have run, so it cannot be refused, and callers submit
+            # a job again after 504.
+            return json_answer({"state": "failed"})
+        case JobOutcome.REFUSED:
+            return plain_problem(503, answer.why, answer.retry_after)
+        case JobOutcome.TIMED_OUT:
+            return plain_problem(504, answer.why)
+        case None:
+            return plain_problem(409, answer.why)
 
 
 def state_response(state: JobState | None) -> HttpResponse:
--- a/bergamotcourse/tests/platform/test_caller_requests.py
+++ b/bergamotcourse/tests/platform/test_caller_requests.py
@@ -7,11 +7,16 @@
 from hypothesis import strategies as st
 
 from bergamotcourse.coordination.event_log import EventLog
-from bergamotcourse.coordination.jobs.job_service import JobService
+from bergamotcourse.coordination.jobs.job_run import JobOutcome
+from bergamotcourse.coordination.jobs.job_service import JobAnswer, JobService
 from bergamotcourse.coordination.jobs.processor_lag import ProcessorLag
 from bergamotcourse.coordination.jobs.queues_in_force import QueuesInForce
 from bergamotcourse.coordination.timers import Timers
-from bergamotcourse.platform.callers import CallerRequestHandler, ReadinessHandler
+from bergamotcourse.platform.callers import (
+    CallerRequestHandler,
+    ReadinessHandler,
+    job_response,
+)
 from bergamotcourse.platform.documents import decode_queues
 from bergamotcourse.tests.jobs.fleets import run_fleet
 from bergamotcourse.transport.http import HttpRequest
@@ -205,3 +210,33 @@
             assert [(one["request"], one["calls"]) for one in joined] == [(ID, 1)]
 
         run_fleet(main)
+
+
+class TestCancelledJob:
+    def test_is_answered_as_failed_to_the_call_that_waits_for_it(self):
+        """Guards against a 200 whose state is none that a submission may have."""
+
+        async def main(fleet):
+            front = make_front(fleet)
+            responses = []
+
+            async def submit():
+                responses.append(await ask(front, "POST", f"/a/{ID}", JOB))
+
+            async with trio.open_nursery() as nursery:
+                nursery.start_soon(submit)
+                await trio.sleep(0.05)
+                assert (await ask(front, "DELETE", f"/a/{ID}")).status == 200
+            assert responses[0].status == 200
+            assert msgspec.json.decode(responses[0].body) == {"state": "failed"}
+
+        run_fleet(main)
+
+    @pytest.mark.parametrize("outcome", list(JobOutcome))
+    def test_no_outcome_is_answered_with_an_unknown_state(self, outcome):
+        response = job_response(JobAnswer(outcome))
+        if response.status == 200:
+            state = msgspec.json.decode(response.body)["state"]
+            assert state in ("succeeded", "failed")
+        else:
+            assert response.status in (503, 504)
