Run a job anew for a call that finds it abandoned, refused or timed out

A caller whose connection broke and who submitted its job again was told the outcome of its earlier call: cancelled, as its own former connection had gone, or refused or timed out with time left.

Cause: a call joins whatever job the entry has under the id, also one that has an outcome already. A job stays there until the last of its calls has run in the event loop, so the window lasts for a pass of it, longer at a busy entry. It opens as the entry notices a disconnect by itself, after a pause.

Only success and failure are outcomes of the job; the others say why earlier calls ended. A further call now replaces a job with such an outcome. The runs of the former one may still be stopping, so a task isn't placed before the end of its former run is reported, and its runs are numbered after it. Without that the tasks overlap with their former runs.

Both tests failed before: cancelled instead of succeeded, and, with the calls separated only, overlapping runs in the second.

--- a/bergamotcourse/coordination/jobs/job_dispatcher.py
+++ b/bergamotcourse/coordination/jobs/job_dispatcher.py
@@ -32,6 +32,7 @@
 from bergamotcourse.coordination.jobs.rack_demand import RackDemand
 from bergamotcourse.coordination.jobs.retry_advice import RetryAdvice
 from bergamotcourse.coordination.jobs.speed_placement import SpeedRound, SpeedTable
+from bergamotcourse.coordination.jobs.withdrawn_runs import WithdrawnRuns
 from bergamotcourse.coordination.jobs.work_estimates import WorkEstimates
 from bergamotcourse.coordination.timers import Timers
 from bergamotcourse.ids import NO_LIFE, ServiceName
@@ -71,10 +72,12 @@
     """Admits jobs, places their tasks on agents and determines each job's outcome.
 
     Attributes:
-        jobs: Admitted jobs that still have callers, by id.
+        jobs: Admitted jobs that still have callers, by id. The next call for a job
+            replaces it if it has an outcome that concerns only the earlier calls.
         waiting: Jobs with tasks that are ready to be placed.
         speeds: Speeds of the agents.
         delayed: Tasks that are placed again after a delay.
+        withdrawn: Runs that were withdrawn and may not have ended yet.
         outcomes: Number of jobs by outcome.
         had_waiting_jobs: Jobs were still waiting after the last placement round.
         ends_at: Time at which this entry exits, once a planned stop has begun.
@@ -104,6 +107,7 @@
         self.jobs: dict[JobId, JobRun] = {}
         self.waiting: list[JobRun] = []
         self.delayed: list[TaskRun] = []
+        self.withdrawn = WithdrawnRuns()
         self.estimates = WorkEstimates()
         self.speeds = SpeedTable(log, self.policy.weighs_speed)
         self.outcomes: Counter[JobOutcome] = Counter()
@@ -150,8 +154,9 @@
         """Run a job until it has an outcome.
 
         A job whose id is already known is not admitted again; the call waits for the
-        outcome of the known job. When the last call for a job is cancelled, the job is
-        withdrawn.
+        outcome of the known job. An outcome that concerns only the earlier calls for it
+        is not given to a further one: that call runs the job anew. When the last call
+        for a job is cancelled, the job is withdrawn.
 
         Args:
             spec: The job.
@@ -164,10 +169,10 @@
             The job with its outcome.
         """
         job = self.jobs.get(spec.id)
-        if job is None:
-            job = self._admit(spec, queue, seconds)
-        else:
+        if job is not None:
             self._log_joined(job)
+        if job is None or not job.may_be_joined(spec):
+            job = self._admit(spec, queue, seconds)
         job.callers.append(is_abandoned)
         try:
             await self._await_outcome(job, seconds - RESPONSE_MARGIN_SECONDS)
@@ -283,6 +288,7 @@
     ) -> None:
         """Apply the outcome of a run to its task and job."""
         job = task.job
+        self.withdrawn.record_end(task, ended.key.number)
         if ended.outcome in NEVER_STARTED_OUTCOMES:
             job.possible_runs -= 1
             task.agents.pop(ended.key.number, None)
@@ -356,7 +362,11 @@
 
     def _admit(self, spec: JobSpec, queue: JobQueue, seconds: float) -> JobRun:
         factor = self.estimates.factor(queue.name)
+        former = self.jobs.get(spec.id)
+        if former is not None:
+            self._withdraw_tasks(former)
         job = JobRun(spec, queue, self.timers.now(), factor)
+        self.withdrawn.continue_numbers(job)
         self.jobs[spec.id] = job
         self.waiting.append(job)
         for step in spec.steps:
@@ -483,15 +493,15 @@
         """Remove a job that has no callers left, and withdraw its placed tasks."""
         if self.jobs.get(job.spec.id) is job:
             del self.jobs[job.spec.id]
-            job.finish(JobOutcome.CANCELLED, "its caller has gone")
-            self.outcomes[job.outcome] += 1
-            self.log.write(
-                "job.settled",
-                request=job.spec.id,
-                outcome=job.outcome.value,
-                why=job.why,
-                took_ms=round((self.timers.now() - job.arrived) * 1000),
-            )
+        job.finish(JobOutcome.CANCELLED, "its caller has gone")
+        self.outcomes[job.outcome] += 1
+        self.log.write(
+            "job.settled",
+            request=job.spec.id,
+            outcome=job.outcome.value,
+            why=job.why,
+            took_ms=round((self.timers.now() - job.arrived) * 1000),
+        )
         self._withdraw_tasks(job)
 
     def _withdraw_tasks(self, job: JobRun) -> None:
@@ -501,7 +511,13 @@
         for task in job.tasks:
             if task.state is TaskState.PLACED:
                 task.state = TaskState.DONE
-                self.links.withdraw(task.link, task.key)
+                self._withdraw_run(task)
+
+    def _withdraw_run(self, task: TaskRun) -> None:
+        """Withdraw the last run of a task, unless its end has been reported."""
+        if task.key in task.link.placed:
+            self.withdrawn.add(task)
+            self.links.withdraw(task.link, task.key)
 
     # Placement and outcomes of tasks.
 
@@ -514,7 +530,7 @@
         runs it. So a job without callers is cancelled instead.
         """
         link = None
-        for task in job.pending_tasks():
+        for task in filter(self.withdrawn.may_start, job.pending_tasks()):
             is_first = link is None
             link = self._choose_agent(job, task, choices, speeds, now, link)
             if link is None:
@@ -522,7 +538,8 @@
             if is_first and self._cancel_if_abandoned(job):
                 return True
             self._place_task(job, task, link, now)
-        self.waiting.remove(job)
+        if not job.pending_tasks():
+            self.waiting.remove(job)
         return True
 
     def _choose_agent(
@@ -658,18 +675,14 @@
 
     def _complete_task(self, job: JobRun, task: TaskRun) -> None:
         if task.state is TaskState.PLACED and task.link is not None:
-            self._withdraw_redundant_run(task)
+            # A later run, while the earlier one has completed after all.
+            self._withdraw_run(task)
         job.complete_task(task)
         if not job.unfinished_tasks:
             job.finish(JobOutcome.SUCCEEDED)
         elif job.pending_tasks() and job not in self.waiting:
             self.waiting.append(job)
 
-    def _withdraw_redundant_run(self, task: TaskRun) -> None:
-        """Withdraw a later run of a task whose earlier run has completed after all."""
-        if task.key in task.link.placed:
-            self.links.withdraw(task.link, task.key)
-
 
 def has_room_for(job: JobRun, choices: PlacementCandidates) -> bool:
     """Return whether an agent has room for the largest waiting task of a job."""
--- a/bergamotcourse/coordination/jobs/job_run.py
+++ b/bergamotcourse/coordination/jobs/job_run.py
@@ -147,6 +147,15 @@
             has_disconnected() for has_disconnected in self.callers
         )
 
+    def may_be_joined(self, spec: JobSpec) -> bool:
+        """Return whether a further call for a job may get the outcome of this one.
+
+        Any other outcome than success and failure concerns the earlier calls: they were
+        refused, their time was over, or their callers had left.
+        """
+        shared = (None, JobOutcome.SUCCEEDED, JobOutcome.FAILED)
+        return self.outcome in shared and self.spec == spec
+
     @property
     def start_by(self) -> float:
         """Return the latest time at which the work can start and still be in time."""
--- /dev/null
+++ b/bergamotcourse/tests/jobs/test_rejoined_jobs.py
@@ -0,0 +1,77 @@
+"""Calls for a job that is already known at the entry, or has an outcome there."""
+
+import pytest
+import trio
+
+from bergamotcourse.coordination.jobs.job_run import JobOutcome
+from bergamotcourse.tests.jobs.fleets import run_fleet, runs_of
+from bergamotcourse.virtual.job_fleet import QUEUE, job
+
+WORK_SECONDS = 0.5
+TIMEOUT_SECONDS = 20.0
+
+
+class Call:
+    """One call that submits a job to the first entry and waits for the answer."""
+
+    def __init__(self, fleet, spec, seconds=TIMEOUT_SECONDS):
+        self.dispatcher = fleet.entries["entry-1"].jobs
+        self.has_disconnected = False
+        self.spec = spec
+        self.seconds = seconds
+        self.answer = None
+        self.answered_at = None
+        self.done = trio.Event()
+        fleet.nursery.start_soon(self.submit)
+
+    async def submit(self):
+        try:
+            self.answer = await self.dispatcher.submit(
+                self.spec, QUEUE, self.seconds, lambda: self.has_disconnected
+            )
+        finally:
+            self.answered_at = trio.current_time()
+            self.done.set()
+
+    def notice_disconnect(self):
+        """Let the dispatcher notice it before the server cancels the call."""
+        for link in self.dispatcher.links.links.values():
+            self.dispatcher.handle_contact_resumed(link)
+
+
+async def wait_for_runs(fleet, spec, count=1):
+    while len(runs_of(fleet, spec.id)) < count:
+        await trio.sleep(0.005)
+
+
+class TestCallThatFindsAnAbandonedJob:
+    def test_gets_the_outcome_of_its_own_run(self):
+        """Guards against an answer that belongs to calls whose callers have left."""
+
+        async def main(fleet):
+            spec = job("a", tasks=2, work=WORK_SECONDS)
+            first = Call(fleet, spec)
+            await wait_for_runs(fleet, spec, 2)
+            first.has_disconnected = True
+            first.notice_disconnect()
+            again = Call(fleet, spec)
+            await again.done.wait()
+            assert first.answer.outcome is JobOutcome.CANCELLED
+            assert again.answer.outcome is JobOutcome.SUCCEEDED
+
+        run_fleet(main)
+
+    @pytest.mark.parametrize("seed", range(1, 6))
+    def test_starts_no_task_while_its_former_run_is_being_stopped(self, seed):
+        async def main(fleet):
+            spec = job("a", tasks=6, work=WORK_SECONDS)
+            first = Call(fleet, spec)
+            await wait_for_runs(fleet, spec, 6)
+            first.has_disconnected = True
+            first.notice_disconnect()
+            again = Call(fleet, spec)
+            await again.done.wait()
+            assert again.answer.outcome is JobOutcome.SUCCEEDED
+            assert fleet.overlaps() == []
+
+        run_fleet(main, seed=seed)
