End only the call whose time is over, not the job that others wait for

A caller with time left that had joined a job was told 504 as the time of an earlier call for it ended, and its job was stopped.

Cause: each call waits until its own deadline, and set the outcome of the whole job then. A call has an answer of its own now, which is the outcome of the job or that its own time is over. The last call that waits still ends the job, and so does the age after which the result is of no use.

The test failed before: timed out instead of succeeded.

--- a/bergamotcourse/coordination/jobs/job_dispatcher.py
+++ b/bergamotcourse/coordination/jobs/job_dispatcher.py
@@ -16,6 +16,8 @@
     immediate_refusal,
 )
 from bergamotcourse.coordination.jobs.job_run import (
+    Call,
+    JobAnswer,
     JobOutcome,
     JobRun,
     TaskRun,
@@ -150,7 +152,7 @@
         queue: JobQueue,
         seconds: float,
         is_abandoned: Callable[[], bool] = never_abandoned,
-    ) -> JobRun:
+    ) -> JobAnswer:
         """Run a job until it has an outcome.
 
         A job whose id is already known is not admitted again; the call waits for the
@@ -166,21 +168,24 @@
                 connected at the time of this call.
 
         Returns:
-            The job with its outcome.
+            The outcome of the job, or that the time of this call is over while the job
+            goes on for others.
         """
         job = self.jobs.get(spec.id)
         if job is not None:
             self._log_joined(job)
         if job is None or not job.may_be_joined(spec):
             job = self._admit(spec, queue, seconds)
-        job.callers.append(is_abandoned)
+        call = Call(is_abandoned)
+        job.calls.append(call)
         try:
-            await self._await_outcome(job, seconds - RESPONSE_MARGIN_SECONDS)
+            return await self._await_outcome(
+                job, call, seconds - RESPONSE_MARGIN_SECONDS
+            )
         finally:
-            job.callers.remove(is_abandoned)
-            if not job.callers:
+            job.calls.remove(call)
+            if not job.calls:
                 self._remove_job(job)
-        return job
 
     def cancel(self, job_id: JobId) -> bool:
         """Cancel a job; return false if it is not known."""
@@ -389,7 +394,7 @@
         self.log.write(
             "job.joined",
             request=job.spec.id,
-            calls=len(job.callers),
+            calls=len(job.calls),
             outcome=job.outcome.value if job.outcome else "",
             age_ms=round((self.timers.now() - job.arrived) * 1000),
         )
@@ -409,7 +414,9 @@
             job.retry_after = refusal.retry_after
             job.finish(JobOutcome.REFUSED, refusal.why)
 
-    async def _await_outcome(self, job: JobRun, seconds: float) -> None:
+    async def _await_outcome(
+        self, job: JobRun, call: Call, seconds: float
+    ) -> JobAnswer:
         now = self.timers.now()
         outcome_deadline = min(now + seconds, job.abandon_at)
         placement_deadline = min(job.placement_deadline, outcome_deadline)
@@ -419,7 +426,11 @@
         with trio.move_on_after(max(0.0, outcome_deadline - self.timers.now())):
             await job.finished.wait()
         if job.outcome is None:
-            job.finish(JobOutcome.TIMED_OUT, "not done in time")
+            why = "not done in time"
+            if self.timers.now() < job.abandon_at and job.is_awaited_by_others(call):
+                return JobAnswer(JobOutcome.TIMED_OUT, why)
+            job.finish(JobOutcome.TIMED_OUT, why)
+        return job.answer()
 
     def _refuse_if_placement_overdue(self, job: JobRun) -> None:
         """Refuse a job past its placement deadline if no task can have started."""
--- a/bergamotcourse/coordination/jobs/job_run.py
+++ b/bergamotcourse/coordination/jobs/job_run.py
@@ -40,6 +40,32 @@
     CANCELLED = "cancelled"
 
 
+@dataclass(frozen=True)
+class JobAnswer:
+    """The answer to one call that submitted a job.
+
+    Attributes:
+        outcome: ``None`` if a different job with the same id is running.
+        why: Reason of the outcome, for the caller.
+        retry_after: Seconds after which the caller of a refused job may retry.
+    """
+
+    outcome: JobOutcome | None
+    why: str = ""
+    retry_after: float = 0.0
+
+
+@dataclass(eq=False)
+class Call:
+    """A call that waits for the outcome of a job.
+
+    Attributes:
+        has_disconnected: Returns whether its caller has disconnected.
+    """
+
+    has_disconnected: Callable[[], bool]
+
+
 class TaskState(Enum):
     """The state of a task."""
 
@@ -114,8 +140,7 @@
         possible_runs: Number of placed runs that may have started.
         finished: Set together with the outcome.
         retry_after: Seconds after which the caller of a refused job may retry.
-        callers: For each call that waits for the outcome, a function that returns
-            whether its caller has disconnected.
+        calls: The calls that wait for the outcome.
     """
 
     def __init__(
@@ -134,7 +159,7 @@
         self.outcome: JobOutcome | None = None
         self.why = ""
         self.retry_after = 0.0
-        self.callers: list[Callable[[], bool]] = []
+        self.calls: list[Call] = []
 
     @property
     def may_have_run(self) -> bool:
@@ -143,8 +168,12 @@
 
     def is_abandoned(self) -> bool:
         """Return whether all callers have disconnected; false before the first."""
-        return bool(self.callers) and all(
-            has_disconnected() for has_disconnected in self.callers
+        return bool(self.calls) and all(call.has_disconnected() for call in self.calls)
+
+    def is_awaited_by_others(self, call: Call) -> bool:
+        """Return whether a further call waits whose caller is still connected."""
+        return any(
+            other is not call and not other.has_disconnected() for other in self.calls
         )
 
     def may_be_joined(self, spec: JobSpec) -> bool:
@@ -208,6 +237,10 @@
             if other.state is TaskState.BLOCKED and done.issuperset(other.spec.after):
                 other.state = TaskState.PENDING
 
+    def answer(self) -> JobAnswer:
+        """Return the outcome for the calls that wait for it."""
+        return JobAnswer(self.outcome, self.why, self.retry_after)
+
     def finish(self, outcome: JobOutcome, why: str = "") -> None:
         """Set the outcome, unless the job already has one."""
         if self.outcome is None:
--- a/bergamotcourse/coordination/jobs/job_service.py
+++ b/bergamotcourse/coordination/jobs/job_service.py
@@ -1,12 +1,11 @@
 """The entry's job operations, independent of the protocol that callers use."""
 
 from collections.abc import Callable
-from dataclasses import dataclass
 from enum import Enum
 
 from bergamotcourse.coordination.event_log import EventLog
 from bergamotcourse.coordination.jobs.job_dispatcher import JobDispatcher
-from bergamotcourse.coordination.jobs.job_run import JobOutcome
+from bergamotcourse.coordination.jobs.job_run import JobAnswer, JobOutcome
 from bergamotcourse.coordination.jobs.processor_lag import ProcessorLag
 from bergamotcourse.coordination.jobs.queues_in_force import QueuesInForce
 from bergamotcourse.state.job_spec import JobId, JobQueue, JobSpec
@@ -26,21 +25,6 @@
     RUNNING = "running"
 
 
-@dataclass(frozen=True)
-class JobAnswer:
-    """The response to a caller that submitted a job.
-
-    Attributes:
-        outcome: ``None`` if a different job with the same id is running.
-        why: Reason of the outcome, for the caller.
-        retry_after: Seconds after which the caller of a refused job may retry.
-    """
-
-    outcome: JobOutcome | None
-    why: str = ""
-    retry_after: float = 0.0
-
-
 class JobService:
     """Submits, inspects and cancels jobs of the configured queues."""
 
@@ -96,8 +80,7 @@
         if known is not None and known.spec != spec:
             self.log.write("job.other_body", request=spec.id)
             return JobAnswer(None, "another job of this id is running")
-        job = await self.jobs.submit(spec, queue, seconds, is_abandoned)
-        return JobAnswer(job.outcome, job.why, job.retry_after)
+        return await self.jobs.submit(spec, queue, seconds, is_abandoned)
 
     def log_response(
         self,
--- a/bergamotcourse/tests/jobs/test_rejoined_jobs.py
+++ b/bergamotcourse/tests/jobs/test_rejoined_jobs.py
@@ -75,3 +75,21 @@
             assert fleet.overlaps() == []
 
         run_fleet(main, seed=seed)
+
+
+class TestCallWithTimeLeft:
+    def test_outlasts_the_deadline_of_an_earlier_call(self):
+        """Guards against telling a caller that another caller's time is over."""
+
+        async def main(fleet):
+            spec = job("a", tasks=1, work=1.0)
+            short = Call(fleet, spec, seconds=0.5)
+            await wait_for_runs(fleet, spec)
+            long = Call(fleet, spec, seconds=5.0)
+            await short.done.wait()
+            await long.done.wait()
+            assert short.answer.outcome is JobOutcome.TIMED_OUT
+            assert long.answer.outcome is JobOutcome.SUCCEEDED
+            assert len(runs_of(fleet, "a")) == 1
+
+        run_fleet(main)
--- a/bergamotcourse/tests/platform/test_caller_requests.py
+++ b/bergamotcourse/tests/platform/test_caller_requests.py
@@ -7,8 +7,8 @@
 from hypothesis import strategies as st
 
 from bergamotcourse.coordination.event_log import EventLog
-from bergamotcourse.coordination.jobs.job_run import JobOutcome
-from bergamotcourse.coordination.jobs.job_service import JobAnswer, JobService
+from bergamotcourse.coordination.jobs.job_run import JobAnswer, JobOutcome
+from bergamotcourse.coordination.jobs.job_service import JobService
 from bergamotcourse.coordination.jobs.processor_lag import ProcessorLag
 from bergamotcourse.coordination.jobs.queues_in_force import QueuesInForce
 from bergamotcourse.coordination.timers import Timers
