Keep a cancelled job cancelled for submissions that arrive after it

A submission that was delayed on its way, or sent again, after its job's cancellation had been acknowledged with 200 ran the whole job.

Cause: the entry forgot a cancelled job with the last of its calls. A job that had ended before isn't concerned, nor one whose callers have only disconnected.

The test failed before: the second and the third call succeeded.

--- a/bergamotcourse/coordination/jobs/job_dispatcher.py
+++ b/bergamotcourse/coordination/jobs/job_dispatcher.py
@@ -11,6 +11,7 @@
 from bergamotcourse.coordination.jobs.admission_forecast import AdmissionForecast
 from bergamotcourse.coordination.jobs.agent_link import AgentLink
 from bergamotcourse.coordination.jobs.agent_links import AgentLinks, PlacementCandidates
+from bergamotcourse.coordination.jobs.cancellations import Cancellations
 from bergamotcourse.coordination.jobs.job_order import (
     dispatch_order_key,
     immediate_refusal,
@@ -61,6 +62,8 @@
 for the tasks of one job may have room for smaller ones, or for those with data in
 another rack."""
 
+CANCELLED_WHY = "cancelled by its caller"
+
 NO_ROOM_RETRY_SECONDS = 1.0
 """``Retry-After`` of a job that is refused because no agent had room in time."""
 
@@ -79,6 +82,7 @@
         waiting: Jobs with tasks that are ready to be placed.
         speeds: Speeds of the agents.
         delayed: Tasks that are placed again after a delay.
+        cancellations: Jobs that callers have cancelled, which are not run again.
         withdrawn: Runs that were withdrawn and may not have ended yet.
         outcomes: Number of jobs by outcome.
         had_waiting_jobs: Jobs were still waiting after the last placement round.
@@ -109,6 +113,7 @@
         self.jobs: dict[JobId, JobRun] = {}
         self.waiting: list[JobRun] = []
         self.delayed: list[TaskRun] = []
+        self.cancellations = Cancellations()
         self.withdrawn = WithdrawnRuns()
         self.estimates = WorkEstimates()
         self.speeds = SpeedTable(log, self.policy.weighs_speed)
@@ -157,8 +162,9 @@
 
         A job whose id is already known is not admitted again; the call waits for the
         outcome of the known job. An outcome that concerns only the earlier calls for it
-        is not given to a further one: that call runs the job anew. When the last call
-        for a job is cancelled, the job is withdrawn.
+        is not given to a further one: that call runs the job anew, unless a caller has
+        cancelled the job. When the last call for a job is cancelled, the job is
+        withdrawn.
 
         Args:
             spec: The job.
@@ -171,6 +177,8 @@
             The outcome of the job, or that the time of this call is over while the job
             goes on for others.
         """
+        if self.cancellations.contains(spec.id, self.timers.now()):
+            return JobAnswer(JobOutcome.CANCELLED, CANCELLED_WHY)
         job = self.jobs.get(spec.id)
         if job is not None:
             self._log_joined(job)
@@ -192,7 +200,9 @@
         job = self.jobs.get(job_id)
         if job is None:
             return False
-        job.finish(JobOutcome.CANCELLED, "cancelled by its caller")
+        job.finish(JobOutcome.CANCELLED, CANCELLED_WHY)
+        if job.outcome is JobOutcome.CANCELLED:
+            self.cancellations.add(job_id, self.timers.now())
         self._withdraw_tasks(job)
         return True
 
--- a/bergamotcourse/tests/jobs/test_rejoined_jobs.py
+++ b/bergamotcourse/tests/jobs/test_rejoined_jobs.py
@@ -3,6 +3,11 @@
 import pytest
 import trio
 
+from bergamotcourse.coordination.jobs.cancellations import (
+    MAX_CANCELLATIONS,
+    RETENTION_SECONDS,
+    Cancellations,
+)
 from bergamotcourse.coordination.jobs.job_run import JobOutcome
 from bergamotcourse.tests.jobs.fleets import run_fleet, runs_of
 from bergamotcourse.virtual.job_fleet import QUEUE, job
@@ -93,3 +98,54 @@
             assert len(runs_of(fleet, "a")) == 1
 
         run_fleet(main)
+
+
+class TestCallForACancelledJob:
+    def test_starts_nothing_after_the_cancellation(self):
+        """Guards against a late submission that runs a job its caller has cancelled."""
+
+        async def main(fleet):
+            spec = job("a", tasks=2, work=WORK_SECONDS)
+            first = Call(fleet, spec)
+            await wait_for_runs(fleet, spec, 2)
+            assert first.dispatcher.cancel(spec.id)
+            at_once = Call(fleet, spec)
+            await first.done.wait()
+            await at_once.done.wait()
+            await trio.sleep(5.0)
+            late = Call(fleet, spec)
+            await late.done.wait()
+            outcomes = {call.answer.outcome for call in (first, at_once, late)}
+            assert outcomes == {JobOutcome.CANCELLED}
+            assert len(runs_of(fleet, "a")) == 2
+
+        run_fleet(main)
+
+    def test_gets_the_outcome_of_a_job_that_had_ended_before(self):
+        async def main(fleet):
+            spec = job("a", tasks=1, work=0.1)
+            first = Call(fleet, spec)
+            await first.done.wait()
+            assert not first.dispatcher.cancel(spec.id)
+            again = Call(fleet, spec)
+            await again.done.wait()
+            assert again.answer.outcome is JobOutcome.SUCCEEDED
+
+        run_fleet(main)
+
+
+class TestCancellations:
+    def test_are_forgotten_after_the_retention_time(self):
+        cancellations = Cancellations()
+        cancellations.add("a", 0.0)
+        cancellations.add("b", RETENTION_SECONDS)
+        assert cancellations.contains("a", RETENTION_SECONDS)
+        assert not cancellations.contains("a", RETENTION_SECONDS + 1)
+        assert list(cancellations.times) == ["b"]
+
+    def test_are_bounded_in_number(self):
+        cancellations = Cancellations()
+        for number in range(MAX_CANCELLATIONS + 1):
+            cancellations.add(str(number), 0.0)
+        assert len(cancellations.times) == MAX_CANCELLATIONS
+        assert not cancellations.contains("0", 0.0)
