Show the state of a job that has ended instead of running

A request for the state of a job, or for the number of pending ones, between the job's outcome and the end of its last call was told that it was running, or counted it among those that wait for a start.

Cause: the state was derived from the job's runs alone. It follows from the outcome now; a job that was refused, timed out or abandoned is not known.

--- a/bergamotcourse/coordination/jobs/job_dispatcher.py
+++ b/bergamotcourse/coordination/jobs/job_dispatcher.py
@@ -147,7 +147,7 @@
     def pending_jobs(self, queue: str) -> int:
         """Return the number of jobs of a queue of which no task can have started."""
         return sum(
-            job.queue.name == queue and not job.may_have_run
+            job.queue.name == queue and job.outcome is None and not job.may_have_run
             for job in self.jobs.values()
         )
 
@@ -177,7 +177,7 @@
             The outcome of the job, or that the time of this call is over while the job
             goes on for others.
         """
-        if self.cancellations.contains(spec.id, self.timers.now()):
+        if self.is_cancelled(spec.id):
             return JobAnswer(JobOutcome.CANCELLED, CANCELLED_WHY)
         job = self.jobs.get(spec.id)
         if job is not None:
@@ -195,6 +195,10 @@
             if not job.calls:
                 self._remove_job(job)
 
+    def is_cancelled(self, job_id: JobId) -> bool:
+        """Return whether a caller has cancelled a job lately."""
+        return self.cancellations.contains(job_id, self.timers.now())
+
     def cancel(self, job_id: JobId) -> bool:
         """Cancel a job; return false if it is not known."""
         job = self.jobs.get(job_id)
--- a/bergamotcourse/coordination/jobs/job_service.py
+++ b/bergamotcourse/coordination/jobs/job_service.py
@@ -19,10 +19,13 @@
 
 
 class JobState(Enum):
-    """The state of a job without an outcome."""
+    """The state of a job, as a request for it shows."""
 
     QUEUED = "queued"
     RUNNING = "running"
+    SUCCEEDED = "succeeded"
+    FAILED = "failed"
+    CANCELLED = "cancelled"
 
 
 class JobService:
@@ -109,11 +112,24 @@
         )
 
     def state(self, job_id: JobId) -> JobState | None:
-        """Return the state of a job, or ``None`` if this entry does not know it."""
+        """Return the state of a job, or ``None`` if this entry does not know it.
+
+        A job that was refused, timed out or abandoned is not known any longer.
+        """
         job = self.jobs.jobs.get(job_id)
         if job is None:
             return None
-        return JobState.RUNNING if job.may_have_run else JobState.QUEUED
+        match job.outcome:
+            case None:
+                return JobState.RUNNING if job.may_have_run else JobState.QUEUED
+            case JobOutcome.SUCCEEDED:
+                return JobState.SUCCEEDED
+            case JobOutcome.FAILED:
+                return JobState.FAILED
+            case JobOutcome.CANCELLED if self.jobs.is_cancelled(job_id):
+                return JobState.CANCELLED
+            case _:
+                return None
 
     def cancel(self, job_id: JobId) -> bool:
         """Cancel a job; return false if this entry does not know it."""
--- a/bergamotcourse/tests/platform/test_caller_requests.py
+++ b/bergamotcourse/tests/platform/test_caller_requests.py
@@ -7,7 +7,7 @@
 from hypothesis import strategies as st
 
 from bergamotcourse.coordination.event_log import EventLog
-from bergamotcourse.coordination.jobs.job_run import JobAnswer, JobOutcome
+from bergamotcourse.coordination.jobs.job_run import JobAnswer, JobOutcome, JobRun
 from bergamotcourse.coordination.jobs.job_service import JobService
 from bergamotcourse.coordination.jobs.processor_lag import ProcessorLag
 from bergamotcourse.coordination.jobs.queues_in_force import QueuesInForce
@@ -17,7 +17,7 @@
     ReadinessHandler,
     job_response,
 )
-from bergamotcourse.platform.documents import decode_queues
+from bergamotcourse.platform.documents import decode_job, decode_queues
 from bergamotcourse.tests.jobs.fleets import run_fleet
 from bergamotcourse.transport.http import HttpRequest
 
@@ -240,3 +240,56 @@
             assert state in ("succeeded", "failed")
         else:
             assert response.status in (503, 504)
+
+
+class TestStateOfAnEndedJob:
+    @pytest.mark.parametrize(
+        "outcome, status, state",
+        [
+            (JobOutcome.SUCCEEDED, 200, "succeeded"),
+            (JobOutcome.FAILED, 200, "failed"),
+            (JobOutcome.CANCELLED, 410, None),
+            (JobOutcome.REFUSED, 410, None),
+            (JobOutcome.TIMED_OUT, 410, None),
+        ],
+    )
+    def test_is_not_running(self, outcome, status, state):
+        """Guards against a state that contradicts the answer to the submission."""
+
+        async def main(fleet):
+            front = make_front(fleet)
+            fleet.nursery.start_soon(ask, front, "POST", f"/a/{ID}", JOB)
+            await trio.sleep(0.05)
+            front.service.jobs.jobs[ID].finish(outcome)
+            response = await ask(front, "GET", f"/a/{ID}")
+            assert response.status == status
+            if state is not None:
+                assert msgspec.json.decode(response.body) == {"state": state}
+
+        run_fleet(main)
+
+    def test_is_cancelled_after_a_caller_has_cancelled_it(self):
+        async def main(fleet):
+            front = make_front(fleet)
+            fleet.nursery.start_soon(ask, front, "POST", f"/a/{ID}", JOB)
+            await trio.sleep(0.05)
+            assert (await ask(front, "DELETE", f"/a/{ID}")).status == 200
+            response = await ask(front, "GET", f"/a/{ID}")
+            assert msgspec.json.decode(response.body) == {"state": "cancelled"}
+
+        run_fleet(main)
+
+    def test_is_not_pending(self):
+        """Guards against counting a refused job among those that wait for a start."""
+
+        async def main(fleet):
+            front = make_front(fleet)
+            queue = front.service.find_queue("one.example", f"/a/{ID}")
+            spec = decode_job(ID, msgspec.json.encode(JOB))
+            run = JobRun(spec, queue, 0.0)
+            run.finish(JobOutcome.REFUSED)
+            front.service.jobs.jobs[ID] = run
+            response = await ask(front, "GET", "/a/")
+            assert msgspec.json.decode(response.body) == {"pending": 0}
+
+        run_fleet(main)
