Find a job by its queue and its id

A call for a job of one queue joined, showed or cancelled a job of another queue with the same id and body, and was told its outcome.

Cause: jobs were looked up by the id alone, and of a further submission only the body was compared. Submissions, requests for the state and cancellations now compare the host and the path that the queue is addressed by. Its name may change with the configuration while a job runs.

The test failed before: 200 instead of 409.

--- a/bergamotcourse/coordination/jobs/cancellations.py
+++ b/bergamotcourse/coordination/jobs/cancellations.py
@@ -2,6 +2,9 @@
 
 from bergamotcourse.state.job_spec import JobId
 
+JobKey = tuple[tuple[str, str], JobId]
+"""The address of a queue, and the id of a job there."""
+
 RETENTION_SECONDS = 60.0
 """A submission that was delayed on its way arrives seconds after its job's end."""
 
@@ -10,26 +13,26 @@
 
 
 class Cancellations:
-    """Ids of the jobs that were cancelled lately.
+    """The jobs that were cancelled lately.
 
     Attributes:
         times: The time of each cancellation, the oldest first.
     """
 
     def __init__(self):
-        self.times: dict[JobId, float] = {}
+        self.times: dict[JobKey, float] = {}
 
-    def add(self, job_id: JobId, now: float) -> None:
+    def add(self, job: JobKey, now: float) -> None:
         """Record that a job was cancelled."""
-        self.times.pop(job_id, None)
-        self.times[job_id] = now
+        self.times.pop(job, None)
+        self.times[job] = now
         while len(self.times) > MAX_CANCELLATIONS:
             del self.times[next(iter(self.times))]
 
-    def contains(self, job_id: JobId, now: float) -> bool:
+    def contains(self, job: JobKey, now: float) -> bool:
         """Return whether a job was cancelled within the retention time."""
         self._expire(now)
-        return job_id in self.times
+        return job in self.times
 
     def _expire(self, now: float) -> None:
         while self.times:
--- a/bergamotcourse/coordination/jobs/job_dispatcher.py
+++ b/bergamotcourse/coordination/jobs/job_dispatcher.py
@@ -177,12 +177,12 @@
             The outcome of the job, or that the time of this call is over while the job
             goes on for others.
         """
-        if self.is_cancelled(spec.id):
+        if self.is_cancelled(spec.id, queue):
             return JobAnswer(JobOutcome.CANCELLED, CANCELLED_WHY)
         job = self.jobs.get(spec.id)
         if job is not None:
             self._log_joined(job)
-        if job is None or not job.may_be_joined(spec):
+        if job is None or not (job.may_be_joined() and job.is_of(spec, queue)):
             job = self._admit(spec, queue, seconds)
         call = Call(is_abandoned)
         job.calls.append(call)
@@ -195,18 +195,26 @@
             if not job.calls:
                 self._remove_job(job)
 
-    def is_cancelled(self, job_id: JobId) -> bool:
-        """Return whether a caller has cancelled a job lately."""
-        return self.cancellations.contains(job_id, self.timers.now())
-
-    def cancel(self, job_id: JobId) -> bool:
-        """Cancel a job; return false if it is not known."""
+    def find(self, job_id: JobId, queue: JobQueue) -> JobRun | None:
+        """Return a job of a queue, or ``None`` if it is not known there."""
         job = self.jobs.get(job_id)
+        if job is None or job.queue.address != queue.address:
+            return None
+        return job
+
+    def is_cancelled(self, job_id: JobId, queue: JobQueue) -> bool:
+        """Return whether a caller has cancelled a job of a queue lately."""
+        key = (queue.address, job_id)
+        return self.cancellations.contains(key, self.timers.now())
+
+    def cancel(self, job_id: JobId, queue: JobQueue) -> bool:
+        """Cancel a job of a queue; return false if it is not known there."""
+        job = self.find(job_id, queue)
         if job is None:
             return False
         job.finish(JobOutcome.CANCELLED, CANCELLED_WHY)
         if job.outcome is JobOutcome.CANCELLED:
-            self.cancellations.add(job_id, self.timers.now())
+            self.cancellations.add((queue.address, job_id), self.timers.now())
         self._withdraw_tasks(job)
         return True
 
--- a/bergamotcourse/coordination/jobs/job_run.py
+++ b/bergamotcourse/coordination/jobs/job_run.py
@@ -176,14 +176,17 @@
             other is not call and not other.has_disconnected() for other in self.calls
         )
 
-    def may_be_joined(self, spec: JobSpec) -> bool:
+    def is_of(self, spec: JobSpec, queue: JobQueue) -> bool:
+        """Return whether a submission to a queue is one of this job."""
+        return self.spec == spec and self.queue.address == queue.address
+
+    def may_be_joined(self) -> bool:
         """Return whether a further call for a job may get the outcome of this one.
 
         Any other outcome than success and failure concerns the earlier calls: they were
         refused, their time was over, or their callers had left.
         """
-        shared = (None, JobOutcome.SUCCEEDED, JobOutcome.FAILED)
-        return self.outcome in shared and self.spec == spec
+        return self.outcome in (None, JobOutcome.SUCCEEDED, JobOutcome.FAILED)
 
     @property
     def start_by(self) -> float:
--- a/bergamotcourse/coordination/jobs/job_service.py
+++ b/bergamotcourse/coordination/jobs/job_service.py
@@ -80,7 +80,8 @@
             self.log.write("job.refused", request=spec.id, why=refusal)
             return JobAnswer(JobOutcome.REFUSED, refusal, UNSUPPORTED_RETRY_SECONDS)
         known = self.jobs.jobs.get(spec.id)
-        if known is not None and known.spec != spec:
+        is_running = known is not None and known.outcome is None
+        if is_running and not known.is_of(spec, queue):
             self.log.write("job.other_body", request=spec.id)
             return JobAnswer(None, "another job of this id is running")
         return await self.jobs.submit(spec, queue, seconds, is_abandoned)
@@ -111,12 +112,12 @@
             body_bytes=body_bytes,
         )
 
-    def state(self, job_id: JobId) -> JobState | None:
-        """Return the state of a job, or ``None`` if this entry does not know it.
+    def state(self, job_id: JobId, queue: JobQueue) -> JobState | None:
+        """Return the state of a queue's job, or ``None`` if it is not known here.
 
         A job that was refused, timed out or abandoned is not known any longer.
         """
-        job = self.jobs.jobs.get(job_id)
+        job = self.jobs.find(job_id, queue)
         if job is None:
             return None
         match job.outcome:
@@ -126,14 +127,14 @@
                 return JobState.SUCCEEDED
             case JobOutcome.FAILED:
                 return JobState.FAILED
-            case JobOutcome.CANCELLED if self.jobs.is_cancelled(job_id):
+            case JobOutcome.CANCELLED if self.jobs.is_cancelled(job_id, queue):
                 return JobState.CANCELLED
             case _:
                 return None
 
-    def cancel(self, job_id: JobId) -> bool:
-        """Cancel a job; return false if this entry does not know it."""
-        return self.jobs.cancel(job_id)
+    def cancel(self, job_id: JobId, queue: JobQueue) -> bool:
+        """Cancel a job of a queue; return false if it is not known here."""
+        return self.jobs.cancel(job_id, queue)
 
     def pending(self, queue: JobQueue) -> int:
         """Return the number of jobs of a queue that have not started."""
--- a/bergamotcourse/platform/callers.py
+++ b/bergamotcourse/platform/callers.py
@@ -49,9 +49,9 @@
             case "POST":
                 return await self._submit(request, queue, job_id)
             case "GET":
-                return state_response(self.service.state(job_id))
+                return state_response(self.service.state(job_id, queue))
             case "DELETE":
-                return cancel_response(self.service.cancel(job_id))
+                return cancel_response(self.service.cancel(job_id, queue))
             case _:
                 return plain_problem(405, "only POST, GET and DELETE are served")
 
--- a/bergamotcourse/state/job_spec.py
+++ b/bergamotcourse/state/job_spec.py
@@ -79,6 +79,11 @@
     slack_factor: float = 1.0
     target_latency: float = 0.0
 
+    @property
+    def address(self) -> tuple[str, str]:
+        """Return the host and the path by which callers address the queue."""
+        return self.host, self.path_prefix
+
     def objective(self, work: float) -> float:
         """Return the response-time objective in seconds.
 
--- a/bergamotcourse/tests/jobs/test_rejoined_jobs.py
+++ b/bergamotcourse/tests/jobs/test_rejoined_jobs.py
@@ -108,7 +108,7 @@
             spec = job("a", tasks=2, work=WORK_SECONDS)
             first = Call(fleet, spec)
             await wait_for_runs(fleet, spec, 2)
-            assert first.dispatcher.cancel(spec.id)
+            assert first.dispatcher.cancel(spec.id, QUEUE)
             at_once = Call(fleet, spec)
             await first.done.wait()
             await at_once.done.wait()
@@ -126,7 +126,7 @@
             spec = job("a", tasks=1, work=0.1)
             first = Call(fleet, spec)
             await first.done.wait()
-            assert not first.dispatcher.cancel(spec.id)
+            assert not first.dispatcher.cancel(spec.id, QUEUE)
             again = Call(fleet, spec)
             await again.done.wait()
             assert again.answer.outcome is JobOutcome.SUCCEEDED
--- a/bergamotcourse/tests/platform/test_caller_requests.py
+++ b/bergamotcourse/tests/platform/test_caller_requests.py
@@ -293,3 +293,33 @@
             assert msgspec.json.decode(response.body) == {"pending": 0}
 
         run_fleet(main)
+
+
+class TestJobOfAnotherQueue:
+    def make_front(self, fleet):
+        front = make_front(fleet)
+        route = {**CONFIG["routes"][0], "name": "r-2", "path_prefix": "/b/"}
+        config = {"version": 4, "routes": [*CONFIG["routes"], route]}
+        front.service.queues.adopt(msgspec.json.encode(config), "test")
+        return front
+
+    def test_is_not_joined_shown_or_cancelled(self):
+        """Guards against answering for a job of another queue under the same id."""
+
+        async def main(fleet):
+            front = self.make_front(fleet)
+            responses = []
+
+            async def submit():
+                responses.append(await ask(front, "POST", f"/a/{ID}", JOB))
+
+            async with trio.open_nursery() as nursery:
+                nursery.start_soon(submit)
+                await trio.sleep(0.05)
+                assert (await ask(front, "POST", f"/b/{ID}", JOB)).status == 409
+                assert (await ask(front, "GET", f"/b/{ID}")).status == 410
+                assert (await ask(front, "DELETE", f"/b/{ID}")).status == 410
+                assert (await ask(front, "GET", f"/a/{ID}")).status == 200
+            assert msgspec.json.decode(responses[0].body) == {"state": "succeeded"}
+
+        run_fleet(main)
