Skip a row of any content, not only one that raises an error of its decoder

Another program's row among the reports of upstreams ended each process that read it, again at each start: an entry with the list, an agent with its own row.

Cause: a field that is nested 200,000 deep raises RecursionError in the decoder of MessagePack, which isn't a ValueError; the decoders of JSON had been guarded against it one by one. The same rows could bring NaN, infinity or a negative amount into the reports.

All decoders of rows go through decode_document now, the fields of a report have ranges that are checked with their types, and a row is guarded as a whole: what no decoder foresees costs that row and a line in the log, which is bounded.

The tests failed before with RecursionError, and with the error that the reader of the list did not expect.

--- a/bergamotcourse/platform/store.py
+++ b/bergamotcourse/platform/store.py
@@ -1,7 +1,9 @@
 """Client of the platform's store, with the calls that the job dispatcher needs."""
 
 import base64
+from collections.abc import Callable, Iterable
 from dataclasses import dataclass
+from typing import Any, TypeVar
 from urllib.parse import urlencode
 
 import msgspec
@@ -17,6 +19,8 @@
 from bergamotcourse.protocol.upstream_orders import UpstreamReport
 from bergamotcourse.state.evacuations import ZoneChange
 from bergamotcourse.state.node_settings import Endpoint
+from bergamotcourse.state.ranges import MAX_AMOUNT, Count
+from bergamotcourse.state.resources import NO_RESOURCES, Resources
 from bergamotcourse.transport.datagram_link import SCHEME
 from bergamotcourse.transport.http import HttpRequest
 from bergamotcourse.transport.http_client import Connect, HttpClient
@@ -40,6 +44,9 @@
 MAX_LOGGED_ROW_BYTES = 80
 """Bytes of an undecodable row that are logged, so that it can be found."""
 
+MAX_LOGGED_ERROR_CHARACTERS = 200
+"""Errors may contain texts of the row."""
+
 MAX_REMEMBERED_SKIPPED_ROWS = 1000
 """Rows remembered so that each is logged once; above it some are logged again."""
 
@@ -50,7 +57,7 @@
     """A row; ``value`` is in base64, and ``deleted`` marks a row that was removed."""
 
     key: str
-    ver: int = 0
+    ver: Count = 0
     value: str = ""
     deleted: bool = False
 
@@ -65,7 +72,7 @@
         has_more: The answer is a page, after which more rows follow.
     """
 
-    ver: int
+    ver: Count
     rows: list[msgspec.Raw] = []
     has_more: bool = False
 
@@ -95,6 +102,10 @@
         return DecodedRows(last - 1, rows)
 
 
+T = TypeVar("T")
+
+MAX_RESOURCES = Resources(MAX_AMOUNT, MAX_AMOUNT, MAX_AMOUNT)
+
 _report_decoder = msgspec.msgpack.Decoder(UpstreamReport)
 _rows_decoder = msgspec.json.Decoder(WireRows)
 _row_decoder = msgspec.json.Decoder(WireRow)
@@ -230,27 +241,43 @@
         return Ok(DecodedRows(read.ver, rows, read.has_more))
 
     def _decode_rows(self, table: str, raw: list[msgspec.Raw]) -> list[WireRow]:
-        rows = []
-        for one in raw:
+        return self._decode_each(
+            table, raw, lambda row: decode_document(_row_decoder, row)
+        )
+
+    def _decode_each(
+        self,
+        table: str,
+        rows: Iterable[msgspec.Raw | WireRow],
+        decode: Callable[[Any], T],
+    ) -> list[T]:
+        """Return the decoded rows; one that cannot be decoded is logged and skipped.
+
+        Other programs write rows too. Whatever one of them contains, it must neither
+        hide the others nor end this process.
+        """
+        decoded = []
+        for row in rows:
             try:
-                rows.append(decode_document(_row_decoder, one))
-            except ValueError as error:
-                self._log_skipped_row(
-                    table,
-                    WireRow(bytes(one)[:MAX_LOGGED_ROW_BYTES].decode("latin-1")),
-                    error,
-                )
-        return rows
-
-    def _log_skipped_row(self, table: str, row: WireRow, error: Exception) -> None:
+                decoded.append(decode(row))
+            except Exception as error:
+                self._log_skipped_row(table, row, error)
+        return decoded
+
+    def _log_skipped_row(
+        self, table: str, row: msgspec.Raw | WireRow, error: Exception
+    ) -> None:
         """Log a row that cannot be decoded, once for each version of it."""
+        if not isinstance(row, WireRow):
+            row = WireRow(bytes(row)[:MAX_LOGGED_ROW_BYTES].decode("latin-1"))
         known = (table, row.key, row.ver)
         if known in self.logged_skipped_rows:
             return
         if len(self.logged_skipped_rows) >= MAX_REMEMBERED_SKIPPED_ROWS:
             self.logged_skipped_rows.clear()
         self.logged_skipped_rows.add(known)
-        self.log.write("store.row_skipped", table=table, key=row.key, why=str(error))
+        why = str(error)[:MAX_LOGGED_ERROR_CHARACTERS]
+        self.log.write("store.row_skipped", table=table, key=row.key, why=why)
 
     def _config_from_rows(self, read: DecodedRows, is_snapshot: bool) -> ConfigRead:
         """Return the configuration and zone changes in rows of the operator's table."""
@@ -269,37 +296,22 @@
         """
         for row in reversed(read.rows):
             if row.key == CONFIG_KEY and not row.deleted:
-                try:
-                    return base64.b64decode(row.value, validate=True)
-                except ValueError as error:
-                    self._log_skipped_row(OPERATOR_TABLE, row, error)
+                for content in self._decode_each(OPERATOR_TABLE, [row], decode_value):
+                    return content
         return None
 
     def _entries_from_rows(self, read: DecodedRows) -> list[LinkAddress]:
         """Return the entries whose addresses are the keys of the rows."""
-        entries = []
-        for row in read.rows:
-            try:
-                entries.append(parse_link_address(row.key))
-            except ValueError as error:
-                self._log_skipped_row(ENTRY_TABLE, row, error)
-        return entries
+        return self._decode_each(
+            ENTRY_TABLE, read.rows, lambda row: parse_link_address(row.key)
+        )
 
     def _upstreams_from_rows(
         self, read: DecodedRows
     ) -> dict[LinkAddress, UpstreamReport]:
         """Return the upstreams' reports in the rows, by agent."""
-        reports = {}
-        for row in read.rows:
-            try:
-                value = base64.b64decode(row.value, validate=True)
-                reports[parse_link_address(row.key)] = check_report_address(
-                    _report_decoder.decode(value)
-                )
-            except ValueError as error:
-                # Skipping is safe: the upstream itself reports within 2 s.
-                self._log_skipped_row(UPSTREAM_TABLE, row, error)
-        return reports
+        # Skipping a row is safe: the upstream itself reports within 2 s.
+        return dict(self._decode_each(UPSTREAM_TABLE, read.rows, decode_report_row))
 
     async def _transact(self, body: dict, timeout: float) -> Result[None, StepError]:
         request = HttpRequest(
@@ -333,6 +345,25 @@
     return tuple(changes)
 
 
+def decode_value(row: WireRow) -> bytes:
+    """Return the value of a row.
+
+    Raises:
+        ValueError: It is not in base64.
+    """
+    return base64.b64decode(row.value, validate=True)
+
+
+def decode_report_row(row: WireRow) -> tuple[LinkAddress, UpstreamReport]:
+    """Return the agent and the upstream's report that a row contains.
+
+    Raises:
+        ValueError: The key is not the address of an agent, or the report is malformed.
+    """
+    report = decode_document(_report_decoder, decode_value(row))
+    return parse_link_address(row.key), check_report(report)
+
+
 def parse_link_address(key: str) -> LinkAddress:
     """Return the link address of the process that a row's key denotes.
 
@@ -345,12 +376,16 @@
     return LinkAddress(key)
 
 
-def check_report_address(report: UpstreamReport) -> UpstreamReport:
-    """Return the report if its address is valid.
+def check_report(report: UpstreamReport) -> UpstreamReport:
+    """Return the report if its address and its capacity are valid.
 
     Raises:
-        ValueError: The address is not of the form ``IP:PORT``.
+        ValueError: The address is not of the form ``IP:PORT``, or an amount is out of
+            range.
     """
+    capacity = report.capacity
+    if not (NO_RESOURCES.fits(capacity) and capacity.fits(MAX_RESOURCES)):
+        raise ValueError(f"capacity out of range: {capacity}")
     if not is_address(report.address):
         raise ValueError(f"not of the form IP:PORT: {report.address}")
     return report
--- a/bergamotcourse/protocol/upstream_orders.py
+++ b/bergamotcourse/protocol/upstream_orders.py
@@ -7,7 +7,7 @@
 import zlib
 from dataclasses import dataclass
 from enum import Enum
-from typing import NamedTuple, Protocol
+from typing import Annotated, NamedTuple, Protocol
 
 import msgspec
 
@@ -20,6 +20,7 @@
     ZoneName,
 )
 from bergamotcourse.state.job_spec import TaskName
+from bergamotcourse.state.ranges import COUNT_RANGE, NAME_LENGTH, Count, Name, Seconds
 from bergamotcourse.state.resources import Resources
 
 
@@ -89,18 +90,18 @@
         cold_seconds: Time for which its runs still take longer after its start.
     """
 
-    id: UpstreamId
-    service: ServiceName
-    address: str
-    zone: ZoneName
+    id: Annotated[UpstreamId, NAME_LENGTH]
+    service: Annotated[ServiceName, NAME_LENGTH]
+    address: Name
+    zone: Annotated[ZoneName, NAME_LENGTH]
     capacity: Resources
-    labels: tuple[str, ...]
+    labels: tuple[Name, ...]
     draining: bool
-    sequence: int
-    clock: float
-    incarnation: Incarnation = Incarnation(0)
-    remaining_seconds: float | None = None
-    cold_seconds: float = 0.0
+    sequence: Count
+    clock: Seconds
+    incarnation: Annotated[Incarnation, COUNT_RANGE] = Incarnation(0)
+    remaining_seconds: Seconds | None = None
+    cold_seconds: Seconds = 0.0
 
     @property
     def life(self) -> LifeKey:
--- /dev/null
+++ b/bergamotcourse/tests/platform/test_odd_documents.py
@@ -0,0 +1,117 @@
+"""Documents of other programs with one value that nobody expects."""
+
+import base64
+
+import msgspec
+import pytest
+from hypothesis import given
+from hypothesis import strategies as st
+
+from bergamotcourse.coordination.event_log import EventLog
+from bergamotcourse.daemons.json_log import JsonLog
+from bergamotcourse.platform.store import DecodedRows, Store, WireRow
+from bergamotcourse.state.node_settings import Endpoint
+from bergamotcourse.tests.platform.odd_values import (
+    msgpack_variants,
+)
+from bergamotcourse.tests.platform.test_documents import HEARTBEAT
+from bergamotcourse.tests.platform.test_store import REPORT
+
+JOB = {
+    "spec": "text",
+    "best_effort": True,
+    "steps": [
+        {"count": 2, "cpu": 500, "mem_mb": 64, "gpu": 1, "estimated_ms": 900},
+        {"count": 1, "after": [0], "required_label": "a", "affinity": "r1-3"},
+    ],
+}
+HOLDING = {
+    "clock_ms": 482113,
+    "born": 3,
+    "running": [["job.0.0.1", 2, "saved", 41, 7]],
+    "ended": [[58, "job.0.0.2", 1, "done", ""]],
+}
+REPORTED = {**HEARTBEAT, "born": 7, "remaining_ms": 100, "state": "draining"}
+VALID = base64.b64encode(msgspec.msgpack.encode(REPORT)).decode()
+
+
+def make_store(lines=None):
+    log = EventLog(lambda kind, fields: (lines or []).append((kind, fields)))
+    return Store(Endpoint("127.0.0.1", 1), log)
+
+
+def assert_usable(document):
+    """Check that a document can be sent in a message and written to the log."""
+    msgspec.msgpack.encode(document)
+    JsonLog("entry-1", fd=-1).sink("document", {"document": document})
+
+
+def assert_decoded_or_refused(decode, variants):
+    """Check that each variant gives a usable document or a ``ValueError``."""
+    for name, body in variants.items():
+        try:
+            document = decode(body)
+        except ValueError:
+            continue
+        except Exception as error:
+            pytest.fail(f"{name}: {type(error).__name__}")
+        assert_usable(document)
+
+
+class TestOddRows:
+    @pytest.mark.parametrize("name", msgpack_variants(msgspec.to_builtins(REPORT)))
+    def test_report_of_an_upstream_hides_no_other(self, name):
+        """Guards against a process that ends as it reads the list of upstreams."""
+        value = msgpack_variants(msgspec.to_builtins(REPORT))[name]
+        rows = [
+            WireRow("udp://10.0.0.1:7000", 1, VALID),
+            WireRow("udp://10.0.0.2:7000", 2, base64.b64encode(value).decode()),
+            WireRow("udp://10.0.0.3:7000", 3, VALID),
+        ]
+        reports = make_store()._upstreams_from_rows(DecodedRows(3, rows))
+        assert {"udp://10.0.0.1:7000", "udp://10.0.0.3:7000"} <= set(reports)
+        for report in reports.values():
+            assert_usable(report)
+
+    @pytest.mark.parametrize(
+        "key",
+        ["", "x" * 200, "udp://10.0.0.9:0", "udp://10.0.0.9:65536", "udp://a:1", "\0"],
+    )
+    def test_key_that_is_no_address_hides_no_other(self, key):
+        rows = [WireRow(key, 1, VALID), WireRow("udp://10.0.0.3:7000", 2, VALID)]
+        store = make_store()
+        read = DecodedRows(2, rows)
+        assert list(store._upstreams_from_rows(read)) == ["udp://10.0.0.3:7000"]
+        assert store._entries_from_rows(read) == ["udp://10.0.0.3:7000"]
+
+    def test_failure_that_no_decoder_foresees_costs_one_row(self, monkeypatch):
+        """Guards against an error of another type in the list of upstreams."""
+
+        def fail(report):
+            if report.zone == "odd":
+                raise RuntimeError("unforeseen")
+            return report
+
+        monkeypatch.setattr("bergamotcourse.platform.store.check_report", fail)
+        odd = msgspec.msgpack.encode({**msgspec.to_builtins(REPORT), "zone": "odd"})
+        rows = [
+            WireRow("udp://10.0.0.1:7000", 1, base64.b64encode(odd).decode()),
+            WireRow("udp://10.0.0.3:7000", 2, VALID),
+        ]
+        reports = make_store()._upstreams_from_rows(DecodedRows(2, rows))
+        assert list(reports) == ["udp://10.0.0.3:7000"]
+
+    def test_long_text_of_a_row_is_not_logged_whole(self):
+        lines = []
+        report = {**msgspec.to_builtins(REPORT), "address": "x" * 150}
+        value = base64.b64encode(msgspec.msgpack.encode(report)).decode()
+        row = WireRow("k" * 100_000, 1, value)
+        store = make_store(lines)
+        store._upstreams_from_rows(DecodedRows(1, [row]))
+        assert all(len(str(fields)) < 1000 for _, fields in lines)
+
+    @given(st.binary(max_size=60))
+    def test_arbitrary_value_is_skipped_or_usable(self, value):
+        rows = [WireRow("udp://10.0.0.1:7000", 1, base64.b64encode(value).decode())]
+        for report in make_store()._upstreams_from_rows(DecodedRows(1, rows)).values():
+            assert_usable(report)
