Refuse numbers that cannot be stored, sent or converted as malformed

A worker's report with a start time of 10^30 ended its agent, one with a clock of 10^400 was answered 500. A job that needs 10^30 of a resource was refused with 503, so that its caller was told to submit it again.

Cause: JSON has integers of any size, and the decoders took them. Such a number fails later, where it is stored, sent to another process or divided. All numeric fields have a range now, names and lists a length, so that a value out of range is an error of the decoder like any other.

Tests failed before: OverflowError in four kinds of document, 503 instead of 400 for a job, and with real processes an agent that answers a report 500.

--- a/bergamotcourse/platform/documents.py
+++ b/bergamotcourse/platform/documents.py
@@ -26,11 +26,18 @@
     QueueTable,
     StepSpec,
 )
+from bergamotcourse.state.ranges import Amount, Count, Integer, Name, Number
 from bergamotcourse.state.resources import Resources
 
 MAX_TASKS_PER_JOB = 10_000
 """A job with more tasks is refused as malformed."""
 
+MAX_PAYLOAD_BYTES = 1 << 16
+"""A payload travels in messages, of which one has at most a megabyte."""
+
+MAX_ID_LENGTH = 200
+MAX_LABELS = 64
+
 MAX_REMAINING_MS = 600_000
 """Ten minutes. No upstream stays cold, or drains with runs, for longer."""
 
@@ -42,30 +49,30 @@
     host: str
     path_prefix: str
     service: str
-    priority: int = 0
-    max_attempts: int = 1
-    slack_factor: float = 1.0
-    target_latency_ms: float = 0.0
+    priority: Integer = 0
+    max_attempts: Count = 1
+    slack_factor: Number = 1.0
+    target_latency_ms: Number = 0.0
 
 
 class WireConfig(msgspec.Struct):
     """The operator's configuration; fields that are not used are left out."""
 
-    version: int
+    version: Count
     routes: list[WireRoute]
 
 
 class WireStep(msgspec.Struct):
     """A step of a job; clients omit fields that are false, 0 or empty."""
 
-    count: int = 1
-    cpu: int = 0
-    mem_mb: int = 0
-    gpu: int = 0
-    estimated_ms: float = 0.0
-    after: list[int] = []
-    required_label: str = ""
-    affinity: str = ""
+    count: Count = 1
+    cpu: Amount = 0
+    mem_mb: Amount = 0
+    gpu: Amount = 0
+    estimated_ms: Number = 0.0
+    after: list[Count] = []
+    required_label: Name = ""
+    affinity: Name = ""
     gang: bool = False
     long_running: bool = False
     anti_affinity: int = 0
@@ -91,15 +98,12 @@
     DRAINING = "draining"
 
 
-NonNegativeInt = Annotated[int, msgspec.Meta(ge=0)]
-
-
 class WireCapacity(msgspec.Struct, frozen=True):
     """The resources of a worker."""
 
-    cpu: NonNegativeInt
-    mem_mb: NonNegativeInt
-    gpu: NonNegativeInt = 0
+    cpu: Amount
+    mem_mb: Amount
+    gpu: Amount = 0
 
 
 class WireDeparture(msgspec.Struct):
@@ -109,7 +113,7 @@
         born: Milliseconds since 1970 at the start of the worker's process.
     """
 
-    born: NonNegativeInt = 0
+    born: Count = 0
 
 
 class WireHeartbeat(msgspec.Struct):
@@ -126,18 +130,18 @@
         remaining_ms: Least time until a draining worker stops.
     """
 
-    service: str
-    address: str
-    zone: str
-    version: str
-    slots: NonNegativeInt
+    service: Name
+    address: Name
+    zone: Name
+    version: Name
+    slots: Count
     state: WireState
-    sequence: NonNegativeInt
+    sequence: Count
     capacity: WireCapacity
-    clock_ms: NonNegativeInt
-    labels: list[str]
+    clock_ms: Count
+    labels: Annotated[list[Name], msgspec.Meta(max_length=MAX_LABELS)]
     cold_remaining_ms: msgspec.Raw
-    born: NonNegativeInt = 0
+    born: Count = 0
     remaining_ms: msgspec.Raw | msgspec.UnsetType = msgspec.UNSET
 
 
@@ -156,6 +160,8 @@
     fault: FieldFault
 
 
+Decoder = msgspec.json.Decoder | msgspec.msgpack.Decoder
+
 _config_decoder = msgspec.json.Decoder(WireConfig)
 _job_decoder = msgspec.json.Decoder(WireJob)
 _departure_decoder = msgspec.json.Decoder(WireDeparture)
@@ -163,11 +169,12 @@
 _number_decoder = msgspec.json.Decoder(int | float)
 
 
-def decode_document(decoder: msgspec.json.Decoder, body: bytes) -> Any:
+def decode_document(decoder: Decoder, body: bytes) -> Any:
     """Return the document in a body.
 
     Raises:
-        ValueError: It is malformed, or nested too deeply to be decoded.
+        ValueError: It is malformed, a value is out of range, or it is nested too deeply
+            to be decoded.
     """
     try:
         return decoder.decode(body)
@@ -207,6 +214,8 @@
     job = decode_document(_job_decoder, body)
     if not job.steps:
         raise ValueError("the job has no steps")
+    if len(job.spec.encode()) > MAX_PAYLOAD_BYTES:
+        raise ValueError(f"a spec of more than {MAX_PAYLOAD_BYTES} bytes")
     if sum(step.count for step in job.steps) > MAX_TASKS_PER_JOB:
         raise ValueError(f"more than {MAX_TASKS_PER_JOB} tasks")
     steps = tuple(decode_step(index, step) for index, step in enumerate(job.steps))
@@ -222,8 +231,8 @@
         ValueError: A number is out of range, or the step waits for one that does not
             precede it.
     """
-    if step.count < 1 or min(step.cpu, step.mem_mb, step.gpu) < 0:
-        raise ValueError(f"step {index} has a number out of range")
+    if step.count < 1:
+        raise ValueError(f"step {index} has no tasks")
     if any(not 0 <= earlier < index for earlier in step.after):
         raise ValueError(f"step {index} waits for a step that is not before it")
     return StepSpec(
@@ -265,7 +274,7 @@
         ValueError: It is malformed.
     """
     beat = decode_document(_heartbeat_decoder, body)
-    if not upstream or not beat.service:
+    if not 0 < len(upstream) <= MAX_ID_LENGTH or not beat.service:
         raise ValueError("it names no worker")
     if not is_address(beat.address):
         raise ValueError(f"not of the form IP:PORT: {beat.address}")
--- a/bergamotcourse/tests/platform/test_caller_requests.py
+++ b/bergamotcourse/tests/platform/test_caller_requests.py
@@ -322,4 +322,21 @@
                 assert (await ask(front, "GET", f"/a/{ID}")).status == 200
             assert msgspec.json.decode(responses[0].body) == {"state": "succeeded"}
 
+
+class TestJobWithANumberOutOfRange:
+    @pytest.mark.parametrize("field", ["cpu", "mem_mb", "gpu", "estimated_ms"])
+    @pytest.mark.parametrize("number", ["1e308", "1" + "0" * 30, "1" + "0" * 400])
+    def test_is_refused_as_malformed(self, field, number):
+        """Guards against telling its caller to submit it again after a second."""
+
+        async def main(fleet):
+            front = make_front(fleet)
+            step = {**JOB["steps"][0], field: msgspec.Raw(number.encode())}
+            body = msgspec.json.encode({**JOB, "steps": [step]})
+            response = await ask(front, "POST", f"/a/{ID}", body)
+            assert response.status == 400
+            assert fleet.entries["entry-1"].jobs.jobs == {}
+            other = await ask(front, "POST", f"/a/{ID[::-1]}", JOB)
+            assert other.status == 200
+
         run_fleet(main)
--- a/bergamotcourse/tests/platform/test_odd_documents.py
+++ b/bergamotcourse/tests/platform/test_odd_documents.py
@@ -9,12 +9,19 @@
 
 from bergamotcourse.coordination.event_log import EventLog
 from bergamotcourse.daemons.json_log import JsonLog
+from bergamotcourse.platform.documents import (
+    decode_departure,
+    decode_job,
+    decode_queues,
+    decode_report,
+)
 from bergamotcourse.platform.store import DecodedRows, Store, WireRow
 from bergamotcourse.state.node_settings import Endpoint
 from bergamotcourse.tests.platform.odd_values import (
+    json_variants,
     msgpack_variants,
 )
-from bergamotcourse.tests.platform.test_documents import HEARTBEAT
+from bergamotcourse.tests.platform.test_documents import CONFIG, HEARTBEAT
 from bergamotcourse.tests.platform.test_store import REPORT
 
 JOB = {
@@ -58,6 +65,24 @@
         assert_usable(document)
 
 
+class TestOddDocuments:
+    def test_job_is_usable_or_refused(self):
+        assert_decoded_or_refused(
+            lambda body: decode_job("a", body), json_variants(JOB)
+        )
+
+    def test_configuration_is_usable_or_refused(self):
+        assert_decoded_or_refused(decode_queues, json_variants(CONFIG))
+
+    def test_report_is_usable_or_refused(self):
+        variants = json_variants(REPORTED)
+        assert_decoded_or_refused(lambda body: decode_report("i-1", body), variants)
+
+    def test_departure_is_usable_or_refused(self):
+        variants = json_variants({"born": 7})
+        assert_decoded_or_refused(lambda body: decode_departure("i-1", body), variants)
+
+
 class TestOddRows:
     @pytest.mark.parametrize("name", msgpack_variants(msgspec.to_builtins(REPORT)))
     def test_report_of_an_upstream_hides_no_other(self, name):
