Decode an upstream's answers to orders with ranges and a bounded depth

An upstream's answer with a clock of 10^400 or with deep nesting ended the agent that had sent the order; one with an end number beyond 64 bits would have, as it acknowledged that end.

Cause: these decoders didn't go through decode_document, and rows of runs were taken without the types of their columns. Rows are structures now.

The tests failed before with OverflowError.

--- a/bergamotcourse/platform/worker_orders.py
+++ b/bergamotcourse/platform/worker_orders.py
@@ -1,8 +1,11 @@
 """Client of the HTTP interface by which a worker receives orders."""
 
+from typing import Any
+
 import msgspec
 
 from bergamotcourse.ids import Incarnation
+from bergamotcourse.platform.documents import decode_document
 from bergamotcourse.platform.settings_file import parse_endpoint
 from bergamotcourse.protocol.upstream_orders import (
     EndedRun,
@@ -18,6 +21,7 @@
     UpstreamReport,
 )
 from bergamotcourse.state.job_spec import TaskName
+from bergamotcourse.state.ranges import Count, Number
 from bergamotcourse.transport.http import HttpRequest, HttpResponse
 from bergamotcourse.transport.http_client import HttpClient, IdentityCheck
 
@@ -79,23 +83,39 @@
 class WireReply(msgspec.Struct):
     """The answer to an order to start a run, and to any order that is refused."""
 
-    clock_ms: int | None = None
+    clock_ms: Count | None = None
     reason: str = ""
 
 
+class WireRunning(msgspec.Struct, array_like=True):
+    """A row of a run in progress; further columns are ignored."""
+
+    task: str
+    run: Count
+    saved: Any
+    percent: Number
+
+
+class WireEnded(msgspec.Struct, array_like=True):
+    """A row of an ended run; further columns are ignored."""
+
+    number: Count
+    task: str
+    run: Count
+    how: str
+
+
 class WireHolding(msgspec.Struct):
     """The worker's running and ended runs.
 
     Attributes:
-        running: Rows of (task, run, saved, percent, ..).
-        ended: Rows of (number, task, run, how, ..).
         born: Milliseconds since 1970 at the start of the worker's process.
     """
 
-    clock_ms: int
-    running: list[list] = []
-    ended: list[list] = []
-    born: int = 0
+    clock_ms: Count
+    running: list[WireRunning] = []
+    ended: list[WireEnded] = []
+    born: Count = 0
 
 
 _reply_decoder = msgspec.json.Decoder(WireReply)
@@ -230,8 +250,8 @@
 def decode_reply(response: HttpResponse) -> DecodedReply:
     """Return the clock and reason in a reply; none if the body cannot be decoded."""
     try:
-        wire = _reply_decoder.decode(response.body)
-    except msgspec.DecodeError:
+        wire = decode_document(_reply_decoder, response.body)
+    except ValueError:
         return DecodedReply(None, "")
     clock = None if wire.clock_ms is None else wire.clock_ms / 1000
     return DecodedReply(clock, wire.reason)
@@ -255,15 +275,19 @@
 def decode_holding(body: bytes) -> Holding | HoldFailure:
     """Return the runs in a body, or ``HoldFailure.REFUSED`` if it is malformed."""
     try:
-        wire = _holding_decoder.decode(body)
+        wire = decode_document(_holding_decoder, body)
         running = tuple(
-            RunningRun(RunKey(TaskName(row[0]), row[1]), row[3] / 100)
+            RunningRun(RunKey(TaskName(row.task), row.run), row.percent / 100)
             for row in wire.running
         )
         ended = tuple(
-            EndedRun(row[0], RunKey(TaskName(row[1]), row[2]), END_KIND_BY_NAME[row[3]])
+            EndedRun(
+                row.number,
+                RunKey(TaskName(row.task), row.run),
+                END_KIND_BY_NAME[row.how],
+            )
             for row in wire.ended
         )
-    except (msgspec.DecodeError, LookupError, TypeError):
+    except (ValueError, KeyError):
         return HoldFailure.REFUSED
     return Holding(wire.clock_ms / 1000, running, ended, Incarnation(wire.born))
--- a/bergamotcourse/tests/platform/test_odd_documents.py
+++ b/bergamotcourse/tests/platform/test_odd_documents.py
@@ -16,6 +16,7 @@
     decode_report,
 )
 from bergamotcourse.platform.store import DecodedRows, Store, WireRow
+from bergamotcourse.platform.worker_orders import decode_holding, decode_reply
 from bergamotcourse.state.node_settings import Endpoint
 from bergamotcourse.tests.platform.odd_values import (
     json_variants,
@@ -23,6 +24,7 @@
 )
 from bergamotcourse.tests.platform.test_documents import CONFIG, HEARTBEAT
 from bergamotcourse.tests.platform.test_store import REPORT
+from bergamotcourse.transport.http import HttpResponse
 
 JOB = {
     "spec": "text",
@@ -82,6 +84,14 @@
         variants = json_variants({"born": 7})
         assert_decoded_or_refused(lambda body: decode_departure("i-1", body), variants)
 
+    def test_list_of_runs_is_usable_or_refused(self):
+        assert_decoded_or_refused(decode_holding, json_variants(HOLDING))
+
+    def test_reply_to_an_order_is_usable(self):
+        variants = json_variants({"clock_ms": 1, "reason": "room"})
+        for body in variants.values():
+            assert_usable(decode_reply(HttpResponse(409, body=body)))
+
 
 class TestOddRows:
     @pytest.mark.parametrize("name", msgpack_variants(msgspec.to_builtins(REPORT)))
