Report settings that are no text, no port or no finite number as faulty

A settings file that is replaced by one with bytes that aren't UTF-8 ended a running process, which reads it every two seconds.

Cause: UnicodeDecodeError is not an OSError, and the file was decoded as it was read. It is decoded with the settings now, whose faults keep the former ones in use. Ports out of range, NaN, infinite and negative numbers, which failed where they were used, are faults as well.

--- a/bergamotcourse/platform/settings_file.py
+++ b/bergamotcourse/platform/settings_file.py
@@ -1,5 +1,6 @@
 """Reads the platform's settings file, which has lines of ``a.b=value``."""
 
+import math
 import re
 import socket
 
@@ -24,13 +25,13 @@
             malformed; the message lists all faults.
     """
     try:
-        with open(path, encoding="utf-8") as file:
-            text = file.read()
+        with open(path, "rb") as file:
+            content = file.read()
     except OSError as error:
         detail = error.strerror or str(error)
         raise BergamotcourseError(StepError(Step.SETTINGS, path, detail)) from error
     try:
-        return parse_settings(text)
+        return parse_settings(content.decode())
     except ValueError as error:
         fault = StepError(Step.SETTINGS, path, str(error))
         raise BergamotcourseError(fault) from error
@@ -106,9 +107,11 @@
         parts = [part for part in value.split(",") if part]
         wrong = [p for p in parts if not is_address(p)]
         return [f"{key} is not of the form IP:PORT: {part}" for part in wrong]
-    if key == "internal_ports" and not value.split(",")[0].isdigit():
+    if key == "internal_ports" and not is_port(value.split(",")[0]):
         return [f"{key} names no port: {value}"]
-    if key in NUMERIC_KEYS and value and not is_number(value):
+    if key == "ip" and not is_ip(value):
+        return [f"{key} is not an IPv4 address: {value}"]
+    if key in NUMERIC_KEYS and value and not is_amount(value):
         return [f"{key} is not a number: {value}"]
     return []
 
@@ -116,19 +119,26 @@
 def is_address(text: str) -> bool:
     """Return whether a text has the form ``IP:PORT`` with an IPv4 address."""
     host, _, port = text.rpartition(":")
-    if not PORT_PATTERN.fullmatch(port) or not 0 < int(port) < 65536:
-        return False
+    return is_port(port) and is_ip(host)
+
+
+def is_port(text: str) -> bool:
+    """Return whether a text is the number of a port."""
+    return bool(PORT_PATTERN.fullmatch(text)) and 0 < int(text) < 65536
+
+
+def is_ip(text: str) -> bool:
+    """Return whether a text is an IPv4 address."""
     try:
-        socket.inet_pton(socket.AF_INET, host)
+        socket.inet_pton(socket.AF_INET, text)
     except (OSError, ValueError):
         return False
     return True
 
 
-def is_number(text: str) -> bool:
-    """Return whether a text is a number."""
+def is_amount(text: str) -> bool:
+    """Return whether a text is a number that is finite and not negative."""
     try:
-        float(text)
+        return 0 <= float(text) < math.inf
     except ValueError:
         return False
-    return True
--- a/bergamotcourse/tests/platform/test_odd_documents.py
+++ b/bergamotcourse/tests/platform/test_odd_documents.py
@@ -9,12 +9,14 @@
 
 from bergamotcourse.coordination.event_log import EventLog
 from bergamotcourse.daemons.json_log import JsonLog
+from bergamotcourse.errors import BergamotcourseError
 from bergamotcourse.platform.documents import (
     decode_departure,
     decode_job,
     decode_queues,
     decode_report,
 )
+from bergamotcourse.platform.settings_file import parse_settings, read_settings
 from bergamotcourse.platform.store import DecodedRows, Store, WireRow
 from bergamotcourse.platform.worker_orders import decode_holding, decode_reply
 from bergamotcourse.state.node_settings import Endpoint
@@ -23,6 +25,7 @@
     msgpack_variants,
 )
 from bergamotcourse.tests.platform.test_documents import CONFIG, HEARTBEAT
+from bergamotcourse.tests.platform.test_settings_file import ENTRY as SETTINGS
 from bergamotcourse.tests.platform.test_store import REPORT
 from bergamotcourse.transport.http import HttpResponse
 
@@ -150,3 +153,32 @@
         rows = [WireRow("udp://10.0.0.1:7000", 1, base64.b64encode(value).decode())]
         for report in make_store()._upstreams_from_rows(DecodedRows(1, rows)).values():
             assert_usable(report)
+
+
+class TestOddSettings:
+    @pytest.mark.parametrize(
+        "key, value",
+        [
+            ("internal_ports", "0"),
+            ("internal_ports", "65536"),
+            ("internal_ports", "\u00b2"),
+            ("internal_ports", "9" * 5000),
+            ("ip", "host.example"),
+            ("bounds.grace_s", "nan"),
+            ("bounds.grace_s", "inf"),
+            ("bounds.grace_s", "-1"),
+            ("bounds.remote_factor", "nan"),
+            ("limits.cpu_share", "1e400"),
+            ("limits.cpu_cores", "-inf"),
+        ],
+    )
+    def test_value_out_of_range_is_a_fault(self, key, value):
+        with pytest.raises(ValueError, match=key):
+            parse_settings(f"{SETTINGS}\n{key}={value}\n")
+
+    def test_file_that_is_not_text_is_a_fault(self, tmp_path):
+        """Guards against a process that ends as it reads changed settings."""
+        path = tmp_path / "node.conf"
+        path.write_bytes(SETTINGS.encode() + b"\nzone=\xff\xfe\n")
+        with pytest.raises(BergamotcourseError):
+            read_settings(str(path))
