Ignore a deadline header that is no number of at most nine digits

A request with a deadline of 400 digits was answered 500, one with a negative deadline was refused for lack of time, and forms of numbers that only Python knows were taken.

Cause: the header was converted with int() and then divided. It has a pattern now, and any other text gives the default.

The test failed before: OverflowError, and other values than the default.

--- a/bergamotcourse/platform/callers.py
+++ b/bergamotcourse/platform/callers.py
@@ -17,6 +17,7 @@
 from bergamotcourse.transport.http_problem import plain_problem
 
 JOB_ID_PATTERN = re.compile(r"[0-9a-f]{16}")
+DEADLINE_PATTERN = re.compile(r"[0-9]{1,9}")
 DEADLINE_HEADER = "bergamotcourse-deadline-ms"
 
 DEFAULT_DEADLINE_SECONDS = 5.0
@@ -127,7 +128,7 @@
 
 def caller_deadline_seconds(request: HttpRequest) -> float:
     """Return how long the caller waits for the answer, in seconds."""
-    try:
-        return int(request.header(DEADLINE_HEADER)) / 1000
-    except ValueError:
+    text = request.header(DEADLINE_HEADER)
+    if not DEADLINE_PATTERN.fullmatch(text):
         return DEFAULT_DEADLINE_SECONDS
+    return int(text) / 1000
--- a/bergamotcourse/tests/platform/test_odd_documents.py
+++ b/bergamotcourse/tests/platform/test_odd_documents.py
@@ -10,6 +10,7 @@
 from bergamotcourse.coordination.event_log import EventLog
 from bergamotcourse.daemons.json_log import JsonLog
 from bergamotcourse.errors import BergamotcourseError
+from bergamotcourse.platform.callers import caller_deadline_seconds
 from bergamotcourse.platform.documents import (
     decode_departure,
     decode_job,
@@ -27,7 +28,7 @@
 from bergamotcourse.tests.platform.test_documents import CONFIG, HEARTBEAT
 from bergamotcourse.tests.platform.test_settings_file import ENTRY as SETTINGS
 from bergamotcourse.tests.platform.test_store import REPORT
-from bergamotcourse.transport.http import HttpResponse
+from bergamotcourse.transport.http import HttpRequest, HttpResponse
 
 JOB = {
     "spec": "text",
@@ -182,3 +183,11 @@
         path.write_bytes(SETTINGS.encode() + b"\nzone=\xff\xfe\n")
         with pytest.raises(BergamotcourseError):
             read_settings(str(path))
+
+
+class TestOddDeadline:
+    @pytest.mark.parametrize("text", ["9" * 400, "-5", "1_000", "\u0661", "1e3", ""])
+    def test_gives_the_default(self, text):
+        headers = [("bergamotcourse-deadline-ms", text)]
+        request = HttpRequest("POST", "/a/1", headers)
+        assert caller_deadline_seconds(request) == 5.0
