Report an address with a port out of range as an error of the send

A process that was told of a peer with a port above 65535 ended as it greeted it; a host name would have been looked up, while nothing else runs.

Cause: sendto raises OverflowError for such a port, which is neither an OSError nor a ValueError. Only an IPv4 address with a port in range is used now.

--- a/bergamotcourse/tests/transport/test_datagram_link.py
+++ b/bergamotcourse/tests/transport/test_datagram_link.py
@@ -182,3 +182,30 @@
                 assert b.backlog_seconds() == 0
 
         trio.run(scenario)
+
+
+class TestInvalidAddresses:
+    @pytest.mark.parametrize(
+        "address",
+        [
+            "udp://127.0.0.1:65536",
+            "udp://127.0.0.1:0",
+            "udp://127.0.0.1:99999999999999999999",
+            "udp://127.0.0.1:\u0661",
+            "udp://host.example:7000",
+            "udp://:7000",
+            "udp://[::1]:7000",
+            "tcp://127.0.0.1:7000",
+            "",
+        ],
+    )
+    def test_send_to_one_is_an_error(self, address):
+        """Guards against an address from a message that ends the process."""
+
+        async def scenario():
+            async with opened() as link:
+                result = await link.send(LinkAddress(address), b"x")
+                assert result.error.step is Step.SEND
+                assert link.dropped == 1
+
+        trio.run(scenario)
--- a/bergamotcourse/transport/datagram_link.py
+++ b/bergamotcourse/transport/datagram_link.py
@@ -5,7 +5,9 @@
 reached with the first message, and an unreachable one costs one datagram.
 """
 
+import ipaddress
 import random
+import re
 import socket
 import struct
 from collections import OrderedDict
@@ -20,6 +22,9 @@
 
 SCHEME = "udp://"
 
+PORT_PATTERN = re.compile(r"[0-9]{1,5}")
+MAX_PORT = 65535
+
 FRAGMENT_BYTES = 8192
 """Bytes of a payload in one datagram. A larger payload is split into fragments and is
 lost if any of them is lost. Most messages have a few hundred bytes; a configuration has
@@ -250,9 +255,12 @@
     """Return the IP address and the port of a peer.
 
     Raises:
-        ValueError: The address is not of the form ``udp://IP:PORT``.
+        ValueError: The address is not of the form ``udp://IP:PORT``. A host name isn't
+            accepted, as the socket would look it up and block.
     """
-    host, separator, port = peer.removeprefix(SCHEME).rpartition(":")
-    if not peer.startswith(SCHEME) or not separator:
+    host, _, port = peer.removeprefix(SCHEME).rpartition(":")
+    if not peer.startswith(SCHEME) or not PORT_PATTERN.fullmatch(port):
         raise ValueError(f"not an address of this link: {peer!r}")
-    return host, int(port)
+    if not 0 < int(port) <= MAX_PORT:
+        raise ValueError(f"the port is out of range: {peer!r}")
+    return str(ipaddress.IPv4Address(host)), int(port)
