Log that an event cannot be encoded, and go on

An event with a text that isn't valid Unicode, or nested too deeply, raised an exception where it was logged, which may be in any task of the process.

Its line now has the kind of the event and of the error.

The test failed before with UnicodeEncodeError.

--- a/bergamotcourse/daemons/json_log.py
+++ b/bergamotcourse/daemons/json_log.py
@@ -101,9 +101,17 @@
         ):
             self.dropped += 1
             return
-        self.lines.append(self.encoder.encode(line) + b"\n")
+        self.lines.append(self._encode(line) + b"\n")
         self.has_lines.set()
 
+    def _encode(self, line: dict[str, Any]) -> bytes:
+        try:
+            return self.encoder.encode(line)
+        except (ValueError, OverflowError, RecursionError) as error:
+            # A text that isn't valid Unicode, for example.
+            kept = {key: line[key] for key in ("time", "event", "node") if key in line}
+            return self.encoder.encode({**kept, "not_logged": type(error).__name__})
+
     def _update_window(self, second: int) -> None:
         if second == self.window:
             return
--- a/bergamotcourse/tests/daemons/test_json_log.py
+++ b/bergamotcourse/tests/daemons/test_json_log.py
@@ -1,4 +1,5 @@
 import json
+import math
 import os
 
 from bergamotcourse.daemons.json_log import LINES_PER_SECOND, JsonLog
@@ -59,3 +60,24 @@
         log.sink("job.taken", {})
         log.flush()
         assert log.unwritten == b""
+
+    def test_event_that_cannot_be_encoded_is_named_and_hides_no_other(self):
+        reader, writer = os.pipe()
+        log = JsonLog("entry-1", writer)
+        nested = []
+        for _ in range(100_000):
+            nested = [nested]
+        log.sink("report.skipped", {"why": "\ud800"})
+        log.sink("config.malformed", {"detail": nested})
+        log.sink("job.taken", {"request": "a", "number": 10**30, "share": math.nan})
+        log.flush()
+        odd, deep, line = lines_of(reader)
+        assert (odd["event"], odd["not_logged"]) == (
+            "report.skipped",
+            "UnicodeEncodeError",
+        )
+        assert (deep["event"], deep["not_logged"]) == (
+            "config.malformed",
+            "RecursionError",
+        )
+        assert line["request"] == "a"
