Let an exception end one message or one read, not the process

An exception while a message is handled, a list is read or a timer runs ended the whole process, and again after each restart for as long as the message is sent again or the row stays. Which values can cause one was known for decoders only.

Each exception is logged. The loops that place and run tasks are not guarded: a process in an unknown state must not go on giving orders. In tests exceptions still end the run.

The test of the mailer failed before: an exception of a handler ended its loop.

--- a/bergamotcourse/coordination/timers.py
+++ b/bergamotcourse/coordination/timers.py
@@ -42,12 +42,15 @@
     Attributes:
         rng: Source of the jitter.
         pending: Subscriptions made before the service runs.
+        on_failed: Called with a subscription whose call raised an exception, and with
+            the exception; the subscription goes on. ``None`` lets it end ``run``.
     """
 
     def __init__(self, rng: random.Random | None = None):
         self.rng = rng or random.Random()
         self.nursery: trio.Nursery | None = None
         self.pending: list[Subscription] = []
+        self.on_failed: Callable[[Subscription, Exception], None] | None = None
 
     def now(self) -> float:
         """Return seconds on the monotonic clock."""
@@ -90,7 +93,15 @@
             spread = 1 + JITTER_SHARE * (2 * self.rng.random() - 1)
             await trio.sleep(subscription.period * spread)
             if subscription.active:
-                await self.call(subscription)
+                await self._call_guarded(subscription)
+
+    async def _call_guarded(self, subscription: Subscription) -> None:
+        try:
+            await self.call(subscription)
+        except Exception as error:
+            if self.on_failed is None:
+                raise
+            self.on_failed(subscription, error)
 
     async def call(self, subscription: Subscription) -> None:
         """Call a subscriber."""
--- a/bergamotcourse/daemons/job_agent.py
+++ b/bergamotcourse/daemons/job_agent.py
@@ -54,12 +54,16 @@
         reports = node.platform.reports(self.executor, self._upstream_changed, node.log)
         rows = EntryRows(node.store, node.rng, node.log)
         if node.policy.recalls_upstreams:
-            nursery.start_soon(self._recall_upstream)
+            node.start_supervised(nursery, "recall", self._recall_upstream)
         await nursery.start(self.executor.run)
         nursery.start_soon(self.contacts.run)
         nursery.start_soon(serve_http, job_http_server(node.settings.reports, reports))
-        nursery.start_soon(
-            rows.poll_entries, self.contacts.add_entries, AGENT_ENTRY_POLL_SECONDS
+        node.start_supervised(
+            nursery,
+            "entries",
+            rows.poll_entries,
+            self.contacts.add_entries,
+            AGENT_ENTRY_POLL_SECONDS,
         )
 
     async def _recall_upstream(self) -> None:
@@ -73,8 +77,12 @@
         self.contacts.notify_all_entries()
         life = self.executor.life
         if life is not None:
-            self.nursery.start_soon(
-                self.upstreams.store_report, self.node.address, life.report
+            self.node.start_supervised(
+                self.nursery,
+                "store report",
+                self.upstreams.store_report,
+                self.node.address,
+                life.report,
             )
 
     def settings_changed(self, settings: NodeSettings) -> None:
--- a/bergamotcourse/daemons/job_entry.py
+++ b/bergamotcourse/daemons/job_entry.py
@@ -129,10 +129,12 @@
         nursery.start_soon(self.links.run)
         nursery.start_soon(self.jobs.run)
         nursery.start_soon(self.peers.run)
-        nursery.start_soon(feed.run)
         nursery.start_soon(self.rows.announce, node.address)
-        nursery.start_soon(self._greet_agents)
-        nursery.start_soon(self.rows.poll_entries, self.peers.learn)
+        node.start_supervised(nursery, "config", feed.run)
+        node.start_supervised(nursery, "agents", self._greet_agents)
+        node.start_supervised(
+            nursery, "entries", self.rows.poll_entries, self.peers.learn
+        )
         nursery.start_soon(serve_http, self.server)
         if settings.readiness is not None:
             ready = job_http_server(
--- a/bergamotcourse/daemons/job_process.py
+++ b/bergamotcourse/daemons/job_process.py
@@ -5,20 +5,23 @@
 import signal
 import sys
 import time
+from collections.abc import Awaitable, Callable
 from typing import Any, Protocol
 
 import trio
 
 from bergamotcourse.coordination.event_log import EventLog
 from bergamotcourse.coordination.jobs.policy import JobPolicy
-from bergamotcourse.coordination.timers import Timers
+from bergamotcourse.coordination.timers import Subscription, Timers
 from bergamotcourse.daemons.job_metrics import JobMetrics
 from bergamotcourse.daemons.job_platform import Platform
 from bergamotcourse.daemons.json_log import JsonLog
 from bergamotcourse.daemons.process import ignore_sigterm_after_receiver, serve_http
+from bergamotcourse.daemons.supervision import describe_error, run_supervised
 from bergamotcourse.errors import BergamotcourseError, Step, StepError
 from bergamotcourse.ids import LinkAddress
 from bergamotcourse.protocol.mailer import Mailer
+from bergamotcourse.protocol.message import Message
 from bergamotcourse.state.node_settings import Endpoint, NodeSettings
 from bergamotcourse.transport.datagram_link import SCHEME, DatagramLink
 from bergamotcourse.transport.http import Handler
@@ -101,6 +104,8 @@
         self.mailer = Mailer(
             DatagramLink(where.host, where.port, self.rng), rng=self.rng
         )
+        self.mailer.on_failed = self._message_failed
+        self.timers.on_failed = self._timer_failed
         self.metrics.bytes_by_peer = lambda: self.mailer.counters.bytes_by_peer
         self.address = link_address(where)
         self.store = platform.store(self.settings, self.log)
@@ -113,6 +118,27 @@
         self.metrics.sink(kind, fields)
         self.json_log.sink(kind, fields)
 
+    def _message_failed(
+        self, sender: LinkAddress, message: Message, error: Exception
+    ) -> None:
+        kind = type(message).__name__
+        why = describe_error(error)
+        self.log.write("message.failed", peer=sender, kind=kind, error=why)
+
+    def _timer_failed(self, subscription: Subscription, error: Exception) -> None:
+        why = describe_error(error)
+        self.log.write("task.failed", name=subscription.name, error=why)
+
+    def start_supervised(
+        self,
+        nursery: trio.Nursery,
+        name: str,
+        call: Callable[..., Awaitable[None]],
+        *args: Any,
+    ) -> None:
+        """Start a task that is started again after each exception."""
+        nursery.start_soon(run_supervised, name, self.log, call, *args)
+
     def seeds(self) -> list[LinkAddress]:
         """Return the link addresses of the seed entries in the settings."""
         return [link_address(seed) for seed in self.settings.seeds]
@@ -185,7 +211,7 @@
             nursery.start_soon(serve_http, job_http_server(where, node.metrics.handle))
             daemon = daemon_class(node)
             await daemon.run(nursery)
-            nursery.start_soon(node.poll_settings, daemon)
+            node.start_supervised(nursery, "settings", node.poll_settings, daemon)
             await _watch_signals(daemon, nursery)
         await node.store.aclose()
         node.log.write("process.stop")
--- a/bergamotcourse/protocol/mailer.py
+++ b/bergamotcourse/protocol/mailer.py
@@ -179,6 +179,8 @@
             each envelope.
         handler: Called for each received message that is not a reply, in order. It
             must not block.
+        on_failed: Called with a message whose handler raised an exception, and with the
+            exception, which then ends nothing else; ``None`` lets it end ``run``.
         on_envelope: Called for each received envelope, before its messages.
         on_unsent: Called with messages that ``post`` accepted and that were certainly
             not sent.
@@ -202,6 +204,9 @@
         self.batch_bytes = batch_bytes
         self.config_version = ConfigVersion(0)
         self.handler: Callable[[LinkAddress, AnyMessage], None] = _discard_message
+        self.on_failed: Callable[[LinkAddress, AnyMessage, Exception], None] | None = (
+            None
+        )
         self.on_envelope: Callable[[Envelope], None] | None = None
         self.on_unsent: Callable[[LinkAddress, list[AnyMessage]], None] | None = None
         self.counters = Counters()
@@ -436,7 +441,15 @@
             if isinstance(message, REPLY_TYPES):
                 self._complete_request(message)
             else:
-                self.handler(sender, message)
+                self._handle_message(sender, message)
+
+    def _handle_message(self, sender: LinkAddress, message: AnyMessage) -> None:
+        try:
+            self.handler(sender, message)
+        except Exception as error:
+            if self.on_failed is None:
+                raise
+            self.on_failed(sender, message, error)
 
     def _complete_request(self, reply: AnyMessage) -> None:
         request = self.pending.get(reply.request_id)
--- /dev/null
+++ b/bergamotcourse/tests/daemons/test_supervision.py
@@ -0,0 +1,77 @@
+"""Background tasks that go on after an exception."""
+
+import random
+
+import pytest
+import trio
+
+from bergamotcourse.coordination.event_log import EventLog
+from bergamotcourse.coordination.timers import Timers
+from bergamotcourse.daemons.supervision import RESTART_PAUSE_SECONDS, run_supervised
+from bergamotcourse.virtual.clock import run_virtual
+
+
+class TestSupervisedTask:
+    def test_is_started_again_after_an_exception(self):
+        """Guards against a reader of a list whose failure ends the process."""
+        lines = []
+        starts = []
+
+        async def read_list(seconds):
+            starts.append(trio.current_time())
+            await trio.sleep(seconds)
+            if len(starts) < 3:
+                raise RecursionError("nested too deep" * 100)
+
+        async def main():
+            log = EventLog(lambda kind, fields: lines.append((kind, fields)))
+            await run_supervised("entries", log, read_list, 0.5)
+
+        run_virtual(main, 1)
+        assert [round(b - a, 6) for a, b in zip(starts, starts[1:], strict=False)] == [
+            0.5 + RESTART_PAUSE_SECONDS
+        ] * 2
+        assert [kind for kind, _ in lines] == ["task.failed"] * 2
+        assert lines[0][1]["name"] == "entries"
+        assert len(lines[0][1]["error"]) == 200
+
+    def test_ends_when_it_is_cancelled(self):
+        async def main():
+            with trio.move_on_after(1.0) as scope:
+                await run_supervised("entries", EventLog(), trio.sleep_forever)
+            assert scope.cancelled_caught
+
+        run_virtual(main, 1)
+
+
+class TestTimers:
+    def test_subscription_goes_on_after_an_exception(self):
+        failed = []
+        calls = []
+
+        async def call():
+            calls.append(trio.current_time())
+            raise ValueError("odd")
+
+        async def main():
+            timers = Timers(random.Random(1))
+            timers.on_failed = lambda *fields: failed.append(fields)
+            timers.every(1.0, "status", call)
+            with trio.move_on_after(3.5):
+                await timers.run()
+
+        run_virtual(main, 1)
+        assert len(calls) == len(failed) == 3
+        assert failed[0][0].name == "status"
+
+    def test_exception_ends_the_service_if_nobody_handles_it(self):
+        async def call():
+            raise ValueError("odd")
+
+        async def main():
+            timers = Timers(random.Random(1))
+            timers.every(1.0, "status", call)
+            await timers.run()
+
+        with pytest.raises(ExceptionGroup):
+            run_virtual(main, 1)
--- a/bergamotcourse/tests/protocol/test_mailer.py
+++ b/bergamotcourse/tests/protocol/test_mailer.py
@@ -258,3 +258,31 @@
             assert pair.received == [(A, detach(1))]
 
         run(scenario)
+
+
+class TestFailingHandler:
+    def test_exception_costs_one_message(self):
+        """Guards against a message that ends each process which receives it."""
+        failed = []
+
+        async def scenario():
+            pair = Pair()
+
+            def handle(sender, message):
+                if message.entry == "odd":
+                    raise OverflowError("too large")
+                pair.received.append(message.entry)
+
+            pair.b.handler = handle
+            pair.b.on_failed = lambda *fields: failed.append(fields)
+            async with pair.running():
+                for entry in ("first", "odd", "last"):
+                    pair.a.post(B, Detach(entry))
+                await wait_all_tasks_blocked()
+                await trio.sleep(TIMEOUT)
+            assert pair.received == ["first", "last"]
+
+        trio.run(scenario, clock=MockClock(autojump_threshold=0))
+        [(sender, message, error)] = failed
+        assert (sender, message.entry) == (A, "odd")
+        assert isinstance(error, OverflowError)
