Ignore SIGHUP in a process that is starting

A process that got SIGHUP while it imported its modules, for half a second after each start, ended by itself.

Cause: the default action of the signal ends a process, until the receiver of signals is open. The adapters move to modules of their own, as the entry points import them late.

--- a/bergamotcourse/platform/entry.py
+++ b/bergamotcourse/platform/entry.py
@@ -4,36 +4,19 @@
 neither an argument parser nor the other role's modules.
 """
 
+import signal
 import sys
-from collections.abc import Callable
 
-from bergamotcourse.coordination.jobs.job_service import JobService
-from bergamotcourse.daemons.job_entry import JobEntry
-from bergamotcourse.daemons.job_process import run_process
-from bergamotcourse.platform.callers import (
-    CallerRequestHandler,
-    ReadinessHandler,
-    UnusedAddressHandler,
-)
-from bergamotcourse.platform.machine import Machine
-from bergamotcourse.transport.http import Handler
 
+def main() -> int:
+    """Run the process, and return its exit code."""
+    # The default action of the signal would end a process that is still importing its
+    # modules. Changed settings are found without the signal too.
+    signal.signal(signal.SIGHUP, signal.SIG_IGN)
+    from bergamotcourse.platform.entry_machine import run
 
-class EntryMachine(Machine):
-    """The platform's adapter for an entry; implements ``EntryPlatform``."""
-
-    def callers(self, service: JobService) -> Handler:
-        """Return the HTTP handler of callers' requests."""
-        return CallerRequestHandler(service).handle
-
-    def readiness(self, is_ready: Callable[[], bool]) -> Handler:
-        """Return the HTTP handler of the balancer's readiness checks."""
-        return ReadinessHandler(is_ready).handle
-
-    def unused(self) -> Handler:
-        """Return the HTTP handler of an address that must be served but is unused."""
-        return UnusedAddressHandler().handle
+    return run()
 
 
 if __name__ == "__main__":
-    sys.exit(run_process(JobEntry, EntryMachine()))
+    sys.exit(main())
--- a/bergamotcourse/tests/daemons/test_caller_balancing.py
+++ b/bergamotcourse/tests/daemons/test_caller_balancing.py
@@ -13,7 +13,7 @@
 from bergamotcourse.coordination.jobs.policy import JobPolicy
 from bergamotcourse.daemons.job_entry import JobEntry
 from bergamotcourse.ids import LinkAddress, ZoneName
-from bergamotcourse.platform.entry import EntryMachine
+from bergamotcourse.platform.entry_machine import EntryMachine
 from bergamotcourse.protocol.mailer import Mailer
 from bergamotcourse.state.node_settings import Endpoint, NodeSettings
 from bergamotcourse.transport.memory_link import MemoryNetwork
