Let the soak cancel jobs, submit them again at once, and leave odd entries

New checks, in all variants: an answer of success has one of the two states that a submission may have, nothing starts three seconds after the acknowledged cancellation of a job that no other entry knows, and no process ends by itself.

--- a/bergamotcourse/tests/platform/cluster.py
+++ b/bergamotcourse/tests/platform/cluster.py
@@ -97,6 +97,7 @@
         addresses: The addresses it listens on, by purpose.
         store: The store's address in its settings.
         zone: The availability zone in its settings.
+        exit_codes: The exit codes of its former processes.
     """
 
     name: str
@@ -107,6 +108,7 @@
     store: tuple[str, int] = (LOOPBACK_HOST, 0)
     zone: str = "north"
     process: subprocess.Popen | None = None
+    exit_codes: list[int] = field(default_factory=list)
 
     def kill(self) -> None:
         """Kill the process and wait for its end; works for a paused one too."""
@@ -127,11 +129,14 @@
 
     def events(self) -> list[dict]:
         """Return the events that it has logged since its first start."""
+        return [json.loads(line) for line in self.log_lines() if line[:1] == "{"]
+
+    def log_lines(self) -> list[str]:
+        """Return the lines that it has logged, among them those of tracebacks."""
         if not self.log.exists():
             return []
         # The last line may be incomplete.
-        lines = self.log.read_text().split("\n")[:-1]
-        return [json.loads(line) for line in lines]
+        return self.log.read_text().split("\n")[:-1]
 
     async def wait_for_log_event(self, kind: str) -> None:
         """Wait until it has logged an event of a kind."""
@@ -294,6 +299,8 @@
 
     def start_process(self, node: Node) -> None:
         """Start or restart a process."""
+        if node.process is not None:
+            node.exit_codes.append(node.process.wait())
         settings = self.folder / f"{node.name}.conf"
         settings.write_text(self.settings_of(node))
         with open(node.log, "ab") as log:
--- a/bergamotcourse/tests/platform/soak/__main__.py
+++ b/bergamotcourse/tests/platform/soak/__main__.py
@@ -45,6 +45,12 @@
 @click.option(
     "--changes-kinds", is_flag=True, help="Let workers come back with other labels."
 )
+@click.option(
+    "--cancels", is_flag=True, help="Cancel jobs, leave, and submit them again."
+)
+@click.option(
+    "--odd-entries", is_flag=True, help="Write rows and send reports of no use."
+)
 @click.option("--entries", default=2, help="Number of entries.")
 @click.option("--agents", default=3, help="Number of agents.")
 @click.option(
@@ -67,6 +73,8 @@
     evacuates_together: bool,
     loses_stops: bool,
     changes_kinds: bool,
+    cancels: bool,
+    odd_entries: bool,
     entries: int,
     agents: int,
     keep: Path | None,
@@ -89,6 +97,8 @@
             evacuates_together,
             loses_stops,
             changes_kinds,
+            cancels,
+            odd_entries,
             entries,
             agents,
         )
--- a/bergamotcourse/tests/platform/soak/callers.py
+++ b/bergamotcourse/tests/platform/soak/callers.py
@@ -5,9 +5,9 @@
 from dataclasses import dataclass, replace
 
 import trio
-from expression import Result
 
 from bergamotcourse.tests.platform.cluster import make_job
+from bergamotcourse.tests.platform.soak.other_calls import OtherCalls
 from bergamotcourse.tests.platform.soak.proxied_cluster import ProxiedCluster
 from bergamotcourse.tests.platform.soak.records import (
     DEFAULT_VARIANT,
@@ -17,7 +17,8 @@
     Records,
     Variant,
 )
-from bergamotcourse.transport.http_client import HttpClient, HttpError, Sent
+from bergamotcourse.tests.platform.soak.responses import classify_response
+from bergamotcourse.transport.http_client import HttpClient
 
 RESEND_SECONDS = 1.3
 """Shortest delay after which the platform's callers retry an interrupted request."""
@@ -37,13 +38,6 @@
 
 INTERRUPTED_OUTCOMES = frozenset((CallerOutcome.CUT, CallerOutcome.NOT_SENT))
 
-OUTCOME_BY_STATUS = {
-    503: CallerOutcome.REFUSED,
-    504: CallerOutcome.TIMED_OUT,
-    404: CallerOutcome.GONE,
-    410: CallerOutcome.GONE,
-}
-
 
 @dataclass(frozen=True)
 class Habits:
@@ -59,6 +53,8 @@
         task_seconds: The lengths of tasks.
         estimate: Declared length of tasks in seconds; ``None`` for the true one.
         labels: The labels of which each job requires one.
+        interference_share: Share of the attempts beside which the caller makes another
+            call for the job, or leaves.
     """
 
     per_entry: int = 4
@@ -70,6 +66,7 @@
     task_seconds: tuple[float, ...] = TASK_SECONDS
     estimate: float | None = None
     labels: tuple[str, ...] = ("",)
+    interference_share: float = 0.0
 
 
 IMPATIENT = Habits(
@@ -107,6 +104,9 @@
 """Habits where stop orders are lost: many jobs are not done in time, and run on until
 their stop or their lease ends them, while their callers submit them elsewhere."""
 
+CANCELLING = Habits(timeout=2.0, interference_share=0.6)
+"""Habits where callers cancel jobs, leave, and submit them again."""
+
 REQUIRING = Habits(per_entry=8, task_seconds=SHORT_TASK_SECONDS)
 """Habits where workers change their kind: many placements are always on their way."""
 
@@ -127,6 +127,8 @@
         return RESUBMITTING
     if variant.changes_kinds:
         return REQUIRING
+    if variant.cancels:
+        return CANCELLING
     patient = PATIENT_CALLER_TIMEOUT_SECONDS
     return Habits(
         timeout=patient if variant.delays_orders else CALLER_TIMEOUT_SECONDS,
@@ -220,8 +222,7 @@
         if self.client is None or not self.client.idle:
             await self._choose_entry()
         sent_at = trio.current_time()
-        answer = await self.client.request(request, self.habits.timeout + 1.0)
-        outcome, status = classify_response(answer)
+        outcome, status = await self._send(job, request)
         self.last_outcome = outcome
         if outcome not in (
             CallerOutcome.SUCCEEDED,
@@ -234,6 +235,27 @@
         )
         return outcome
 
+    async def _send(self, job, request) -> tuple[CallerOutcome, int]:
+        timeout = self.habits.timeout + 1.0
+        if self.rng.random() >= self.habits.interference_share:
+            return classify_response(await self.client.request(request, timeout))
+        answer = None
+        beside = OtherCalls(
+            self.records,
+            self.rng,
+            job,
+            request,
+            self.entry,
+            (self.client.host, self.client.port),
+        )
+        async with trio.open_nursery() as nursery:
+            with trio.CancelScope() as scope:
+                nursery.start_soon(beside.run, scope)
+                answer = await self.client.request(request, timeout)
+        if answer is None:
+            return CallerOutcome.LEFT, 0
+        return classify_response(answer)
+
     async def _choose_entry(self) -> None:
         await self._disconnect()
         names = [entry.name for entry in self.callers.cluster.entries()]
@@ -253,21 +275,3 @@
         if self.client is not None:
             await self.client.aclose()
         self.client = None
-
-
-def classify_response(answer: Result) -> tuple[CallerOutcome, int]:
-    """Return the outcome that a caller saw and the HTTP status, 0 without one."""
-    match answer:
-        case Result(tag="ok", ok=response) if response.status == 200:
-            done = b'"succeeded"' in response.body
-            return CallerOutcome.SUCCEEDED if done else CallerOutcome.FAILED, 200
-        case Result(tag="ok", ok=response):
-            return OUTCOME_BY_STATUS.get(
-                response.status, CallerOutcome.UNEXPECTED_STATUS
-            ), response.status
-        case Result(tag="error", error=HttpError(sent=Sent.NOTHING)):
-            return CallerOutcome.NOT_SENT, 0
-        case Result(tag="error", error=HttpError(detail="timed out")):
-            return CallerOutcome.NO_RESPONSE, 0
-        case _:
-            return CallerOutcome.CUT, 0
--- a/bergamotcourse/tests/platform/soak/faults.py
+++ b/bergamotcourse/tests/platform/soak/faults.py
@@ -8,6 +8,7 @@
 
 from bergamotcourse.standins.order_upstream import Behaviour
 from bergamotcourse.tests.platform.cluster import Node, make_route, send_request
+from bergamotcourse.tests.platform.soak.odd_entries import OddEntries
 from bergamotcourse.tests.platform.soak.proxied_cluster import ProxiedCluster
 from bergamotcourse.tests.platform.soak.proxy import Direction, Proxy
 from bergamotcourse.tests.platform.soak.records import (
@@ -67,6 +68,7 @@
 BOOT_SECONDS = (0.0, 0.1)
 """Time until a worker that changes its kind answers again."""
 
+ODD_ENTRIES_SECONDS = (0.0, 0.3)
 DELAYED_ORDERS_SECONDS = (0.5, 3.0)
 DELAYED_ORDERS_SHARE = (0.5, 0.8)
 DELAY_SECONDS = (0.01, 0.4)
@@ -138,6 +140,8 @@
                 nursery.start_soon(self._evacuate_together, ends_at)
             if self.variant.loses_stops:
                 nursery.start_soon(self._lose_stops_in_turn, ends_at)
+            if self.variant.odd_entries:
+                nursery.start_soon(self._leave_odd_entries_in_turn, ends_at)
             if self.variant.delays_orders:
                 nursery.start_soon(self._delay_orders_in_turn, ends_at)
             if self.variant.announces_leaving:
@@ -479,6 +483,15 @@
         request = report_request(sender, body)
         await send_request(control, request, REPORT_TIMEOUT_SECONDS)
 
+    async def _leave_odd_entries_in_turn(self, ends_at: float) -> None:
+        """Let another program write rows, reports and requests of no use in turn."""
+        rng = random.Random(self.rng.getrandbits(64))
+        writer = OddEntries(self.cluster, self.records, rng)
+        while trio.current_time() < ends_at:
+            self.records.count("leave_odd_entries")
+            await writer.leave_some()
+            await trio.sleep(rng.uniform(*ODD_ENTRIES_SECONDS))
+
     # Configuration and zones.
 
     async def _evacuate_in_turn(self, ends_at: float) -> None:
--- a/bergamotcourse/tests/platform/soak/records.py
+++ b/bergamotcourse/tests/platform/soak/records.py
@@ -23,8 +23,12 @@
     """The connection ended before a complete response."""
     NO_RESPONSE = "silent"
     """No response until the caller's timeout."""
+    LEFT = "left"
+    """The caller itself closed its connection."""
     UNEXPECTED_STATUS = "odd"
     """A status that callers should never get."""
+    UNREADABLE = "unreadable"
+    """A status of success, and a body without a state that a submission may have."""
 
 
 @dataclass(frozen=True)
@@ -39,6 +43,21 @@
     status: int = 0
 
 
+@dataclass(frozen=True)
+class Cancellation:
+    """A request to cancel a job; times as in ``Attempt``.
+
+    Attributes:
+        acknowledged: Whether it was answered with success.
+    """
+
+    job: str
+    entry: str
+    sent_at: float
+    ended_at: float
+    acknowledged: bool
+
+
 @dataclass(frozen=True)
 class Disruption:
     """A period in which a fault may keep callers of an entry from their responses.
@@ -78,6 +97,10 @@
             callers whose jobs are not done in time submit them again.
         changes_kinds: Workers come back at once with another label, and callers require
             one of the labels.
+        cancels: Callers cancel jobs that they wait for, leave and submit them again on
+            another connection, and wait for one job with several calls.
+        odd_entries: Other programs write rows that cannot be used, and send reports and
+            requests that cannot.
         entries: Number of entries.
         agents: Number of agents.
     """
@@ -94,6 +117,8 @@
     evacuates_together: bool = False
     loses_stops: bool = False
     changes_kinds: bool = False
+    cancels: bool = False
+    odd_entries: bool = False
     entries: int = 2
     agents: int = 3
 
@@ -134,6 +159,7 @@
     evacuations: list[Evacuation] = field(default_factory=list)
     outages: list[StoreOutage] = field(default_factory=list)
     attempts: list[Attempt] = field(default_factory=list)
+    cancellations: list[Cancellation] = field(default_factory=list)
     disruptions: list[Disruption] = field(default_factory=list)
     throttles: list[Throttle] = field(default_factory=list)
     faults: dict[str, int] = field(default_factory=dict)
--- a/bergamotcourse/tests/platform/soak/run.py
+++ b/bergamotcourse/tests/platform/soak/run.py
@@ -13,6 +13,7 @@
 from bergamotcourse.tests.platform.soak.records import DEFAULT_VARIANT, Records, Variant
 from bergamotcourse.tests.platform.soak.standstill import record_stalls
 from bergamotcourse.tests.platform.soak.verdict import (
+    find_crashes,
     find_false_returns,
     find_violations,
     summarise,
@@ -96,6 +97,7 @@
     violations = [
         *find_violations(records, cluster.history),
         *find_false_returns(records.attempts, cluster.history, events),
+        *find_crashes(cluster.nodes.values()),
         *late,
     ]
     return Result(seed, violations, summarise(records))
--- a/bergamotcourse/tests/platform/soak/test_soak.py
+++ b/bergamotcourse/tests/platform/soak/test_soak.py
@@ -89,3 +89,13 @@
     def test_no_violations_when_workers_change_their_kind(self, seed, tmp_path):
         variant = Variant(changes_kinds=True, agents=6)
         assert_no_violations(seed, 8.0, tmp_path, variant, "change_kind")
+
+    @pytest.mark.parametrize("seed", [2])
+    def test_no_violations_while_callers_cancel_jobs(self, seed, tmp_path):
+        variant = Variant(cancels=True)
+        assert_no_violations(seed, 8.0, tmp_path, variant, "cancel")
+
+    @pytest.mark.parametrize("seed", [14])
+    def test_no_violations_when_others_leave_odd_entries(self, seed, tmp_path):
+        variant = Variant(odd_entries=True)
+        assert_no_violations(seed, 8.0, tmp_path, variant, "leave_odd_entries")
--- a/bergamotcourse/tests/platform/soak/test_verdict.py
+++ b/bergamotcourse/tests/platform/soak/test_verdict.py
@@ -7,19 +7,24 @@
 from bergamotcourse.standins.order_upstream import Run
 from bergamotcourse.state.job_spec import TaskName
 from bergamotcourse.state.resources import Resources
-from bergamotcourse.tests.platform.cluster import MAX_TASK_ATTEMPTS
+from bergamotcourse.tests.platform.cluster import MAX_TASK_ATTEMPTS, Node
 from bergamotcourse.tests.platform.soak.records import (
     Attempt,
     CallerOutcome,
+    Cancellation,
     Disruption,
     Evacuation,
     Records,
     StoreOutage,
     Throttle,
 )
+from bergamotcourse.tests.platform.soak.responses import read_state
 from bergamotcourse.tests.platform.soak.verdict import (
+    MAX_CANCELLATION_SECONDS,
     MIN_JUDGED_ATTEMPTS,
     find_abandoned_starts,
+    find_cancelled_starts,
+    find_crashes,
     find_false_returns,
     find_lasting_overloads,
     find_violations,
@@ -261,3 +266,84 @@
             kill = Disruption(entry, 5.0, 10.0)
             lines = self.find(CallerOutcome.REFUSED, CallerOutcome.SUCCEEDED, [kill])
             assert len(lines) == found
+
+
+def make_cancellation(sent_at, acknowledged=True):
+    return Cancellation(JOB, "entry-1", sent_at, sent_at + 0.1, acknowledged)
+
+
+class TestCancellations:
+    @pytest.mark.parametrize(
+        "body, outcome",
+        [
+            (b'{"state":"succeeded"}', CallerOutcome.SUCCEEDED),
+            (b'{"state":"failed"}', CallerOutcome.FAILED),
+            (b'{"state":"cancelled"}', CallerOutcome.UNREADABLE),
+            (b'{"state":"succe', CallerOutcome.UNREADABLE),
+            (b'{"state":1}', CallerOutcome.UNREADABLE),
+            (b"{}", CallerOutcome.UNREADABLE),
+            (b"", CallerOutcome.UNREADABLE),
+        ],
+    )
+    def test_answer_has_one_of_two_states(self, body, outcome):
+        assert read_state(body) is outcome
+
+    def test_answer_without_a_state_is_reported(self):
+        records = make_records(CallerOutcome.UNREADABLE)
+        assert len(find_violations(records, [])) == 1
+
+    @pytest.mark.parametrize("sent_at, found", [(1.0, False), (4.0, True)])
+    def test_failure_is_explained_by_an_earlier_cancellation(self, sent_at, found):
+        records = make_records(CallerOutcome.FAILED)
+        records.cancellations.append(make_cancellation(sent_at))
+        assert bool(find_violations(records, [])) == found
+
+    @pytest.mark.parametrize(
+        "after, acknowledged, elsewhere, disrupted, found",
+        [
+            (1.0, True, False, False, True),
+            (-0.5, True, False, False, False),
+            (1.0, False, False, False, False),
+            (1.0, True, True, False, False),
+            (1.0, True, False, True, False),
+        ],
+    )
+    def test_late_start_is_reported(
+        self, after, acknowledged, elsewhere, disrupted, found
+    ):
+        records = make_records(CallerOutcome.FAILED)
+        cancellation = make_cancellation(1.0, acknowledged)
+        records.cancellations.append(cancellation)
+        if elsewhere:
+            attempt = Attempt(JOB, "entry-2", 1.0, 2.0, CallerOutcome.SUCCEEDED)
+            records.attempts.append(attempt)
+        if disrupted:
+            records.disruptions.append(Disruption("entry-1", 1.5, 2.0))
+        started_at = cancellation.ended_at + MAX_CANCELLATION_SECONDS + after
+        runs = [make_run(1, started_at, started_at + 0.1)]
+        assert bool(find_cancelled_starts(records, runs)) == found
+
+
+class TestCrashes:
+    @pytest.mark.parametrize(
+        "code, found",
+        [(0, False), (-9, False), (-15, False), (1, True), (-1, True), (-11, True)],
+    )
+    def test_end_without_an_order_is_reported(self, tmp_path, code, found):
+        log = tmp_path / "entry-1.log"
+        log.write_text('{"event":"process.start"}\n  | RecursionError: too deep\n')
+        node = Node("entry-1", "entry", "127.0.0.1", log, {})
+        node.process = FinishedProcess(0)
+        node.exit_codes = [0, code]
+        lines = find_crashes([node])
+        assert bool(lines) == found
+        if found:
+            assert lines[0].endswith(": RecursionError: too deep")
+
+
+class FinishedProcess:
+    def __init__(self, code):
+        self.code = code
+
+    def poll(self):
+        return self.code
--- a/bergamotcourse/tests/platform/soak/verdict.py
+++ b/bergamotcourse/tests/platform/soak/verdict.py
@@ -1,14 +1,18 @@
 """Checks whether guarantees were kept, by the records of callers and workers."""
 
+import math
+import signal
 from collections import Counter, defaultdict
+from collections.abc import Iterable
 
 from bergamotcourse.protocol.upstream_orders import EndKind
 from bergamotcourse.standins.order_upstream import Run, overlaps
 from bergamotcourse.state.job_spec import job_id_of_task
-from bergamotcourse.tests.platform.cluster import MAX_TASK_ATTEMPTS
+from bergamotcourse.tests.platform.cluster import MAX_TASK_ATTEMPTS, Node
 from bergamotcourse.tests.platform.soak.records import (
     Attempt,
     CallerOutcome,
+    Cancellation,
     Disruption,
     Evacuation,
     Records,
@@ -36,7 +40,12 @@
 """Fewest attempts that show an overload, and fewest successes elsewhere that show that
 jobs could be served."""
 
-LEFT_OUTCOMES = (CallerOutcome.CUT, CallerOutcome.NO_RESPONSE)
+LEFT_OUTCOMES = (CallerOutcome.CUT, CallerOutcome.NO_RESPONSE, CallerOutcome.LEFT)
+
+MAX_CANCELLATION_SECONDS = 3.0
+"""Longest time from the answer to a cancellation until nothing starts for its job."""
+
+ORDERED_EXIT_CODES = (0, -signal.SIGKILL, -signal.SIGTERM)
 
 
 def find_violations(records: Records, history: list[Run]) -> list[str]:
@@ -45,7 +54,9 @@
         *find_overlaps(history),
         *find_false_refusals(records.attempts, history),
         *find_false_successes(records, history),
-        *find_false_failures(records.attempts, history),
+        *find_false_failures(records, history),
+        *find_unreadable_answers(records.attempts),
+        *find_cancelled_starts(records, history),
         *find_unsubmitted_jobs(records, history),
         *find_abandoned_starts(records, history),
         *find_late_starts(history),
@@ -92,13 +103,85 @@
     ]
 
 
-def find_false_failures(attempts: list[Attempt], history: list[Run]) -> list[str]:
-    """Return the jobs reported as failed before any task had used up its attempts."""
+def find_unreadable_answers(attempts: list[Attempt]) -> list[str]:
+    """Return the answers of success that have no state which callers can read."""
+    return [
+        f"answered without a state: {one.job} at {one.entry}"
+        for one in attempts
+        if one.outcome is CallerOutcome.UNREADABLE
+    ]
+
+
+def find_cancelled_starts(records: Records, history: list[Run]) -> list[str]:
+    """Return the runs that started too long after their job was cancelled.
+
+    A cancellation is known to the entry that acknowledged it, until that restarts. So
+    only jobs are judged of which no other entry has ever heard.
+    """
+    lines = []
+    for one in records.cancellations:
+        if not one.acknowledged or is_job_elsewhere(records, one):
+            continue
+        until = math.inf
+        for disruption in records.disruptions:
+            if disruption.entry == one.entry and disruption.ended_at > one.sent_at:
+                until = min(until, disruption.begun_at)
+        lines += [
+            f"started {run.started_at - one.ended_at:.3f} s after its job was "
+            f"cancelled: {run.key.task}"
+            for run in history
+            if job_id_of_task(run.key.task) == one.job
+            and one.ended_at + MAX_CANCELLATION_SECONDS < run.started_at < until
+        ]
+    return lines
+
+
+def is_job_elsewhere(records: Records, cancellation: Cancellation) -> bool:
+    """Return whether a cancelled job was submitted to another entry too."""
+    return any(
+        one.job == cancellation.job and one.entry != cancellation.entry
+        for one in records.attempts
+    )
+
+
+def find_crashes(nodes: Iterable[Node]) -> list[str]:
+    """Return the processes that ended without a signal to do so."""
+    lines = []
+    for node in nodes:
+        code = node.process.poll()
+        codes = node.exit_codes if code is None else [*node.exit_codes, code]
+        lines += [
+            f"{node.name} ended by itself with {code}: {last_error(node)}"
+            for code in codes
+            if code not in ORDERED_EXIT_CODES
+        ]
+    return lines
+
+
+def last_error(node: Node) -> str:
+    """Return the last line of a traceback that a process has written."""
+    errors = [line for line in node.log_lines() if "Error: " in line]
+    return errors[-1].strip(" |")[:200] if errors else ""
+
+
+def find_false_failures(records: Records, history: list[Run]) -> list[str]:
+    """Return the jobs reported as failed before any task had used up its attempts.
+
+    A job that a caller has asked to be cancelled may be reported as failed.
+    """
+    attempts = records.attempts
+    cancelled_at: dict[str, float] = {}
+    for cancellation in records.cancellations:
+        job = cancellation.job
+        first = cancelled_at.get(job, math.inf)
+        cancelled_at[job] = min(first, cancellation.sent_at)
     failed = [run for run in history if run.kind is EndKind.FAILED]
     lines = []
     for one in attempts:
         if one.outcome is not CallerOutcome.FAILED:
             continue
+        if cancelled_at.get(one.job, math.inf) <= one.ended_at:
+            continue
         failures = Counter(
             run.key.task
             for run in failed
