Judge a cut call of a soak by whether its entry had begun it

A call that was cut by the planned stop of its entry counted as begun if a task of its job started meanwhile. Such a call is judged by the log now: the entry must not have begun more calls than it answered or callers left. A call for a cancelled job is logged for that.

--- a/bergamotcourse/coordination/jobs/job_dispatcher.py
+++ b/bergamotcourse/coordination/jobs/job_dispatcher.py
@@ -178,6 +178,7 @@
             goes on for others.
         """
         if self.is_cancelled(spec.id, queue):
+            self.log.write("job.already_cancelled", request=spec.id)
             return JobAnswer(JobOutcome.CANCELLED, CANCELLED_WHY)
         job = self.jobs.get(spec.id)
         if job is not None:
--- a/bergamotcourse/tests/platform/soak/run.py
+++ b/bergamotcourse/tests/platform/soak/run.py
@@ -95,7 +95,7 @@
     late += await wait_until_upstreams_idle(cluster)
     events = [event for node in cluster.entries() for event in node.events()]
     violations = [
-        *find_violations(records, cluster.history),
+        *find_violations(records, cluster.history, events),
         *find_false_returns(records.attempts, cluster.history, events),
         *find_crashes(cluster.nodes.values()),
         *late,
--- a/bergamotcourse/tests/platform/soak/test_verdict.py
+++ b/bergamotcourse/tests/platform/soak/test_verdict.py
@@ -229,6 +229,16 @@
             make_records(CallerOutcome.CUT, disruptions=near), history
         )
 
+    @pytest.mark.parametrize("answered, found", [(1, True), (2, False)])
+    def test_cut_beside_another_call_is_reported_if_it_was_begun(self, answered, found):
+        records = make_records(CallerOutcome.CUT)
+        beside = Attempt(JOB, "entry-1", 0.5, 2.0, CallerOutcome.SUCCEEDED)
+        records.attempts.append(beside)
+        kinds = ["job.taken", "job.joined", *["job.answered"] * answered]
+        events = [{"event": kind, "node": "entry-1", "request": JOB} for kind in kinds]
+        lines = find_violations(records, [make_run(1, 0.0, 1.0)], events)
+        assert bool(lines) == found
+
     def test_cut_before_any_run_is_closed_idle_connection(self):
         assert find_violations(make_records(CallerOutcome.CUT), []) == []
 
--- a/bergamotcourse/tests/platform/soak/verdict.py
+++ b/bergamotcourse/tests/platform/soak/verdict.py
@@ -45,11 +45,21 @@
 MAX_CANCELLATION_SECONDS = 3.0
 """Longest time from the answer to a cancellation until nothing starts for its job."""
 
+BEGUN_CALL_EVENTS = ("job.taken", "job.joined", "job.already_cancelled")
+
 ORDERED_EXIT_CODES = (0, -signal.SIGKILL, -signal.SIGTERM)
 
 
-def find_violations(records: Records, history: list[Run]) -> list[str]:
-    """Return one line for each violation of a guarantee."""
+def find_violations(
+    records: Records, history: list[Run], events: Iterable[dict] = ()
+) -> list[str]:
+    """Return one line for each violation of a guarantee.
+
+    Args:
+        records: What the soak recorded.
+        history: All runs.
+        events: What the entries have logged.
+    """
     return [
         *find_overlaps(history),
         *find_false_refusals(records.attempts, history),
@@ -62,7 +72,7 @@
         *find_late_starts(history),
         *find_evacuated_starts(records, history),
         *find_misplaced_starts(records, history),
-        *find_unexplained_failures(records, history),
+        *find_unexplained_failures(records, history, events),
         *find_unexpected_statuses(records.attempts),
         *find_lasting_overloads(records),
     ]
@@ -293,12 +303,24 @@
     ]
 
 
-def find_unexplained_failures(records: Records, history: list[Run]) -> list[str]:
+def find_unexplained_failures(
+    records: Records, history: list[Run], events: Iterable[dict]
+) -> list[str]:
     """Return the attempts without a response or disruption whose job had started.
 
     An entry that stops as planned may close an idle connection while a request is in
     transit, but it answers each request that it has begun to serve.
+
+    Args:
+        records: What the soak recorded.
+        history: All runs.
+        events: What the entries have logged.
     """
+    calls = Counter(
+        (event["event"], event["node"], event["request"])
+        for event in events
+        if event["event"] in (*BEGUN_CALL_EVENTS, "job.answered")
+    )
     started = defaultdict(list)
     for run in history:
         started[job_id_of_task(run.key.task)].append(run.started_at)
@@ -311,9 +333,35 @@
             may_explain_failure(disruption, one) for disruption in records.disruptions
         )
         and any(one.sent_at <= at <= one.ended_at for at in started[one.job])
+        and may_be_begun(one, records, calls)
     ]
 
 
+def may_be_begun(attempt: Attempt, records: Records, calls: Counter) -> bool:
+    """Return whether an entry may have begun to serve an attempt whose job has started.
+
+    With several calls for the job at once, its start shows only that one of them was
+    begun. Then the entry must have begun more calls than it answered or callers left.
+
+    Args:
+        attempt: The attempt.
+        records: What the soak recorded.
+        calls: Number of events by kind, entry and job.
+    """
+    where = (attempt.entry, attempt.job)
+    here = [one for one in records.attempts if (one.entry, one.job) == where]
+    if not any(overlaps_in_time(attempt, one) for one in here if one is not attempt):
+        return True
+    begun = sum(calls[kind, *where] for kind in BEGUN_CALL_EVENTS)
+    left = sum(one.outcome is CallerOutcome.LEFT for one in here)
+    return begun > calls["job.answered", *where] + left
+
+
+def overlaps_in_time(one: Attempt, other: Attempt) -> bool:
+    """Return whether two attempts were in progress at the same time."""
+    return one.sent_at <= other.ended_at and other.sent_at <= one.ended_at
+
+
 def may_explain_failure(disruption: Disruption, attempt: Attempt) -> bool:
     """Return whether a disruption may explain that an attempt got no response."""
     return (
