Keep each acknowledged cancellation, also of a job that has just ended

A caller whose cancellation was acknowledged with 200 could still see its job run: a submission of it that arrived later started all tasks.

Cause: a cancellation was kept only if it set the outcome itself. Between the outcome of a job and the end of its last call the entry still finds the job and acknowledges the cancellation, whatever the outcome is. Each acknowledged cancellation is kept now. A submission that may join a job still gets that job's success or failure, so the cancellation only concerns one that would run anew.

Four of five cases of the test failed before, for succeeded, failed, refused and timed out: succeeded instead of cancelled, with a second run. The test that a success is still told to a submission at once passed before and guards the order of the two questions.

--- a/bergamotcourse/coordination/jobs/job_dispatcher.py
+++ b/bergamotcourse/coordination/jobs/job_dispatcher.py
@@ -177,13 +177,13 @@
             The outcome of the job, or that the time of this call is over while the job
             goes on for others.
         """
-        if self.is_cancelled(spec.id, queue):
-            self.log.write("job.already_cancelled", request=spec.id)
-            return JobAnswer(JobOutcome.CANCELLED, CANCELLED_WHY)
         job = self.jobs.get(spec.id)
-        if job is not None:
+        if job is not None and job.may_be_joined() and job.is_of(spec, queue):
             self._log_joined(job)
-        if job is None or not (job.may_be_joined() and job.is_of(spec, queue)):
+        elif self.is_cancelled(spec.id, queue):
+            self.log.write("job.already_cancelled", request=spec.id)
+            return JobAnswer(JobOutcome.CANCELLED, CANCELLED_WHY)
+        else:
             job = self._admit(spec, queue, seconds)
         call = Call(is_abandoned)
         job.calls.append(call)
@@ -214,8 +214,7 @@
         if job is None:
             return False
         job.finish(JobOutcome.CANCELLED, CANCELLED_WHY)
-        if job.outcome is JobOutcome.CANCELLED:
-            self.cancellations.add((queue.address, job_id), self.timers.now())
+        self.cancellations.add((queue.address, job_id), self.timers.now())
         self._withdraw_tasks(job)
         return True
 
@@ -407,6 +406,7 @@
             tasks=len(job.tasks),
             objective_ms=round(job.objective * 1000),
             waits_ms=round(seconds * 1000),
+            former=former.outcome.value if former and former.outcome else "",
         )
         self._refuse_if_unservable(job, min(seconds, self.ends_at - job.arrived))
         if job.outcome is None:
--- a/bergamotcourse/tests/jobs/test_rejoined_jobs.py
+++ b/bergamotcourse/tests/jobs/test_rejoined_jobs.py
@@ -121,6 +121,41 @@
 
         run_fleet(main)
 
+    @pytest.mark.parametrize("outcome", list(JobOutcome))
+    def test_starts_nothing_if_the_job_had_an_outcome_when_it_was_cancelled(
+        self, outcome
+    ):
+        """Guards against an acknowledged cancellation that is forgotten."""
+
+        async def main(fleet):
+            spec = job("a", tasks=1, work=WORK_SECONDS)
+            first = Call(fleet, spec)
+            await wait_for_runs(fleet, spec)
+            first.dispatcher.jobs[spec.id].finish(outcome)
+            assert first.dispatcher.cancel(spec.id, QUEUE)
+            await first.done.wait()
+            again = Call(fleet, spec)
+            await again.done.wait()
+            assert first.answer.outcome is outcome
+            assert again.answer.outcome is JobOutcome.CANCELLED
+            assert len(runs_of(fleet, "a")) == 1
+
+        run_fleet(main)
+
+    def test_gets_the_success_of_a_job_that_was_cancelled_after_it(self):
+        async def main(fleet):
+            spec = job("a", tasks=1, work=WORK_SECONDS)
+            first = Call(fleet, spec)
+            await wait_for_runs(fleet, spec)
+            first.dispatcher.jobs[spec.id].finish(JobOutcome.SUCCEEDED)
+            assert first.dispatcher.cancel(spec.id, QUEUE)
+            at_once = Call(fleet, spec)
+            await at_once.done.wait()
+            assert at_once.answer == first.answer
+            assert len(runs_of(fleet, "a")) == 1
+
+        run_fleet(main)
+
     def test_gets_the_outcome_of_a_job_that_had_ended_before(self):
         async def main(fleet):
             spec = job("a", tasks=1, work=0.1)
