Bound the key of a skipped row in the log and in memory

A row of another program with a key of 100,000 characters was logged with its whole key, once for each of its versions, and up to a thousand such keys were remembered.

Cause: only the error and the bytes of a row that is no row at all were bounded. The test of it could not fail: its list of events was empty, so a new one took its place with each event. It sees the events now, and checks that there is one.

The corrected test failed before: the logged fields have more than 1000 characters.

--- a/bergamotcourse/platform/store.py
+++ b/bergamotcourse/platform/store.py
@@ -44,6 +44,9 @@
 MAX_LOGGED_ROW_BYTES = 80
 """Bytes of an undecodable row that are logged, so that it can be found."""
 
+MAX_LOGGED_KEY_CHARACTERS = 200
+"""Other programs' rows may have longer keys than any process's address."""
+
 MAX_LOGGED_ERROR_CHARACTERS = 200
 """Errors may contain texts of the row."""
 
@@ -270,14 +273,15 @@
         """Log a row that cannot be decoded, once for each version of it."""
         if not isinstance(row, WireRow):
             row = WireRow(bytes(row)[:MAX_LOGGED_ROW_BYTES].decode("latin-1"))
-        known = (table, row.key, row.ver)
+        key = row.key[:MAX_LOGGED_KEY_CHARACTERS]
+        known = (table, key, row.ver)
         if known in self.logged_skipped_rows:
             return
         if len(self.logged_skipped_rows) >= MAX_REMEMBERED_SKIPPED_ROWS:
             self.logged_skipped_rows.clear()
         self.logged_skipped_rows.add(known)
         why = str(error)[:MAX_LOGGED_ERROR_CHARACTERS]
-        self.log.write("store.row_skipped", table=table, key=row.key, why=why)
+        self.log.write("store.row_skipped", table=table, key=key, why=why)
 
     def _config_from_rows(self, read: DecodedRows, is_snapshot: bool) -> ConfigRead:
         """Return the configuration and zone changes in rows of the operator's table."""
--- a/bergamotcourse/tests/platform/test_odd_documents.py
+++ b/bergamotcourse/tests/platform/test_odd_documents.py
@@ -49,7 +49,8 @@
 
 
 def make_store(lines=None):
-    log = EventLog(lambda kind, fields: (lines or []).append((kind, fields)))
+    kept = [] if lines is None else lines
+    log = EventLog(lambda kind, fields: kept.append((kind, fields)))
     return Store(Endpoint("127.0.0.1", 1), log)
 
 
@@ -147,7 +148,9 @@
         row = WireRow("k" * 100_000, 1, value)
         store = make_store(lines)
         store._upstreams_from_rows(DecodedRows(1, [row]))
+        assert [kind for kind, _ in lines] == ["store.row_skipped"]
         assert all(len(str(fields)) < 1000 for _, fields in lines)
+        assert len(str(store.logged_skipped_rows)) < 1000
 
     @given(st.binary(max_size=60))
     def test_arbitrary_value_is_skipped_or_usable(self, value):
