Refuse a report whose clock could not be read from its stored row

A worker's report with a clock above 10^15 ms was accepted and stored, and then skipped by each process that read the row: a restarted agent didn't recall its upstream, and a restarted entry didn't greet that agent.

Cause: the report's clock is in milliseconds and had a range of its own, a thousand times larger than that of the row, which has seconds. The two ranges are one now, for reports and for a worker's answers to orders.

The test failed before for two clocks: the row is not among those that were read.

--- a/bergamotcourse/platform/documents.py
+++ b/bergamotcourse/platform/documents.py
@@ -26,7 +26,14 @@
     QueueTable,
     StepSpec,
 )
-from bergamotcourse.state.ranges import Amount, Count, Integer, Name, Number
+from bergamotcourse.state.ranges import (
+    Amount,
+    Count,
+    Integer,
+    Milliseconds,
+    Name,
+    Number,
+)
 from bergamotcourse.state.resources import Resources
 
 MAX_TASKS_PER_JOB = 10_000
@@ -138,7 +145,7 @@
     state: WireState
     sequence: Count
     capacity: WireCapacity
-    clock_ms: Count
+    clock_ms: Milliseconds
     labels: Annotated[list[Name], msgspec.Meta(max_length=MAX_LABELS)]
     cold_remaining_ms: msgspec.Raw
     born: Count = 0
--- a/bergamotcourse/platform/worker_orders.py
+++ b/bergamotcourse/platform/worker_orders.py
@@ -21,7 +21,7 @@
     UpstreamReport,
 )
 from bergamotcourse.state.job_spec import TaskName
-from bergamotcourse.state.ranges import Count, Number
+from bergamotcourse.state.ranges import Count, Milliseconds, Number
 from bergamotcourse.transport.http import HttpRequest, HttpResponse
 from bergamotcourse.transport.http_client import HttpClient, IdentityCheck
 
@@ -83,7 +83,7 @@
 class WireReply(msgspec.Struct):
     """The answer to an order to start a run, and to any order that is refused."""
 
-    clock_ms: Count | None = None
+    clock_ms: Milliseconds | None = None
     reason: str = ""
 
 
@@ -112,7 +112,7 @@
         born: Milliseconds since 1970 at the start of the worker's process.
     """
 
-    clock_ms: Count
+    clock_ms: Milliseconds
     running: list[WireRunning] = []
     ended: list[WireEnded] = []
     born: Count = 0
--- a/bergamotcourse/state/ranges.py
+++ b/bergamotcourse/state/ranges.py
@@ -29,4 +29,7 @@
 Seconds = Annotated[float, Meta(ge=0.0, le=MAX_NUMBER)]
 """A finite duration, or a time on a monotonic clock."""
 
+Milliseconds = Annotated[int, Meta(ge=0, le=int(MAX_NUMBER) * 1000)]
+"""The same in whole milliseconds."""
+
 Name = Annotated[str, NAME_LENGTH]
--- a/bergamotcourse/tests/platform/test_odd_documents.py
+++ b/bergamotcourse/tests/platform/test_odd_documents.py
@@ -98,6 +98,22 @@
             assert_usable(decode_reply(HttpResponse(409, body=body)))
 
 
+class TestAcceptedReports:
+    @pytest.mark.parametrize("number", [10**12, 10**15, 10**15 + 1, 2**63 - 1])
+    @pytest.mark.parametrize("field", ["clock_ms", "sequence", "born"])
+    def test_can_be_read_from_their_rows(self, field, number):
+        """Guards against a report that is stored but skipped by those who read it."""
+        body = msgspec.json.encode({**REPORTED, field: number})
+        try:
+            report = decode_report("i-1", body)
+        except ValueError:
+            return
+        value = base64.b64encode(msgspec.msgpack.encode(report)).decode()
+        rows = [WireRow("udp://10.0.0.1:7000", 1, value)]
+        reports = make_store()._upstreams_from_rows(DecodedRows(1, rows))
+        assert reports == {"udp://10.0.0.1:7000": report}
+
+
 class TestOddRows:
     @pytest.mark.parametrize("name", msgpack_variants(msgspec.to_builtins(REPORT)))
     def test_report_of_an_upstream_hides_no_other(self, name):
