Handle the other items of a message of which one has failed

After an exception at the end of one run, an entry took the other runs whose ends came in the same message for placed until it was restarted: their room at the agent was never free again, and a cancelled or abandoned job that was submitted again was refused each time for lack of room. An agent didn't stop the other runs whose withdrawals came in one message.

Cause: an exception ends the handling of a message, not the process any more, while all items of the message count as received and aren't sent again. Each item is handled on its own now, in messages as well as in the ends that an entry infers for an agent that has left or doesn't answer. The exceptions are raised together afterwards, so that they are logged, or end the run of a test, as before.

--- a/bergamotcourse/coordination/jobs/agent_links.py
+++ b/bergamotcourse/coordination/jobs/agent_links.py
@@ -9,6 +9,7 @@
 
 import trio
 
+from bergamotcourse.coordination.call_each import call_each
 from bergamotcourse.coordination.event_log import EventLog
 from bergamotcourse.coordination.jobs.agent_link import AgentLink
 from bergamotcourse.coordination.jobs.agent_order import AgentOrder
@@ -309,10 +310,8 @@
         if was_handshake:
             # The runs placed at the agent wait for the echo of this message.
             self._request_send(link)
-        for ended in new_outcomes:
-            self._handle_outcome(link, ended)
         if new_outcomes:
-            self.on_outcomes_reported()
+            self._handle_outcomes(link, new_outcomes)
         else:
             self.on_room_reported(link)
 
@@ -339,6 +338,12 @@
         link.begin_session(turn.boot, turn.session)
         self._request_send(link)
 
+    def _handle_outcomes(self, link: AgentLink, outcomes: list[TaskEnded]) -> None:
+        try:
+            call_each(lambda ended: self._handle_outcome(link, ended), outcomes)
+        finally:
+            self.on_outcomes_reported()
+
     def _handle_outcome(self, link: AgentLink, ended: TaskEnded) -> None:
         if (
             ended.key in link.former_boot_runs
@@ -355,16 +360,15 @@
 
     def _report_runs_lost(self, link: AgentLink, why: str) -> None:
         """Report the runs at an agent as lost; all of them have ended by now."""
-        for key in list(link.placed):
-            self._handle_outcome(link, TaskEnded(key, RunOutcome.LOST, 0.0, why))
-        self.on_outcomes_reported()
+        ends = [TaskEnded(key, RunOutcome.LOST, 0.0, why) for key in link.placed]
+        self._handle_outcomes(link, ends)
 
     def _withdraw_unanswered(self, link: AgentLink, why: str) -> None:
         """Withdraw the runs placed without contact, none of which has started."""
         self.log.write("agent.unanswered", agent=link.name, runs=len(link.placed))
-        for key in link.withdraw_unanswered_runs():
-            self._handle_outcome(link, TaskEnded(key, RunOutcome.RETURNED, 0.0, why))
-        self.on_outcomes_reported()
+        keys = link.withdraw_unanswered_runs()
+        ends = [TaskEnded(key, RunOutcome.RETURNED, 0.0, why) for key in keys]
+        self._handle_outcomes(link, ends)
 
     def _tick(self) -> None:
         now = self.timers.now()
--- a/bergamotcourse/coordination/jobs/entry_contacts.py
+++ b/bergamotcourse/coordination/jobs/entry_contacts.py
@@ -9,6 +9,7 @@
 
 import trio
 
+from bergamotcourse.coordination.call_each import call_each
 from bergamotcourse.coordination.event_log import EventLog
 from bergamotcourse.coordination.jobs.entry_contact import EntryContact, lease_end_of
 from bergamotcourse.coordination.jobs.evacuated_zones import EvacuatedZones
@@ -197,8 +198,8 @@
         self._renew_lease(contact, turn)
         self._update_waiting(contact, turn.waiting)
         contact.outgoing.acknowledge(turn.seen, now)
-        for item in contact.accept_items(turn, now):
-            self._handle_item(contact, item)
+        items = contact.accept_items(turn, now)
+        call_each(lambda item: self._handle_item(contact, item), items)
         if contact.held:
             self._release_held_runs(contact, turn)
 
@@ -235,8 +236,10 @@
     def _release_held_runs(self, contact: EntryContact, turn: EntryTurn) -> None:
         """Place the held runs, or request the echo that they wait for."""
         if contact.may_release(turn, self.timers.lease_now()):
-            for order in contact.release_held_runs():
-                self.executor.place(contact.address, order)
+            call_each(
+                lambda order: self.executor.place(contact.address, order),
+                contact.release_held_runs(),
+            )
         elif turn.items:
             self._request_send(contact)
 
