Bound the errors of decoders that are logged and answered

A report with a state of 300,000 characters was logged with all of them at each report, and repeated in the answer to its sender.

Cause: the decoder's error about an unknown state quotes it. Errors of documents are cut where all decoders meet.

The test failed before for reports: an error of 300,036 characters. For jobs, configurations and departures it passed before.

--- a/bergamotcourse/platform/documents.py
+++ b/bergamotcourse/platform/documents.py
@@ -45,6 +45,9 @@
 MAX_ID_LENGTH = 200
 MAX_LABELS = 64
 
+MAX_ERROR_CHARACTERS = 200
+"""Errors may contain texts of the document, and are logged."""
+
 MAX_REMAINING_MS = 600_000
 """Ten minutes. No upstream stays cold, or drains with runs, for longer."""
 
@@ -187,6 +190,8 @@
         return decoder.decode(body)
     except RecursionError as error:
         raise ValueError("it is nested too deep") from error
+    except ValueError as error:
+        raise ValueError(str(error)[:MAX_ERROR_CHARACTERS]) from error
 
 
 def decode_queues(content: bytes) -> QueueTable:
--- a/bergamotcourse/tests/platform/test_odd_documents.py
+++ b/bergamotcourse/tests/platform/test_odd_documents.py
@@ -98,6 +98,26 @@
             assert_usable(decode_reply(HttpResponse(409, body=body)))
 
 
+class TestErrors:
+    @pytest.mark.parametrize(
+        "decode, document",
+        [
+            (lambda body: decode_job("a", body), JOB),
+            (decode_queues, CONFIG),
+            (lambda body: decode_report("i-1", body), REPORTED),
+            (lambda body: decode_departure("i-1", body), {"born": 7}),
+        ],
+        ids=["job", "configuration", "report", "departure"],
+    )
+    def test_do_not_repeat_a_long_text(self, decode, document):
+        """Guards against log lines and answers as long as an odd document."""
+        for body in json_variants(document).values():
+            try:
+                decode(body)
+            except ValueError as error:
+                assert len(str(error)) < 500
+
+
 class TestAcceptedReports:
     @pytest.mark.parametrize("number", [10**12, 10**15, 10**15 + 1, 2**63 - 1])
     @pytest.mark.parametrize("field", ["clock_ms", "sequence", "born"])
