Answer 504, not 503, while a withdrawn run of the job may go on

A caller that left and submitted its job again was told 503, that the job never runs, while a run of its earlier submission went on and completed 0.4 s later.

Cause: a job is refused if none of its own tasks can have started. Since its tasks wait for the runs of its former submission to end, the placement deadline may pass before that, for example at an agent that is silent. Such a job times out instead: for lack of room, by the forecast, without agents, at a planned stop. For lack of processor time it isn't refused before it is decoded.

The test failed before: refused instead of timed out, with the run in progress. It covers the placement deadline; the other reasons share the function, and the check for lack of processor time has no test of its own.

--- a/bergamotcourse/coordination/jobs/job_dispatcher.py
+++ b/bergamotcourse/coordination/jobs/job_dispatcher.py
@@ -224,8 +224,10 @@
         Jobs that may have run time out; all others are refused.
         """
         for job in list(self.jobs.values()):
-            outcome = JobOutcome.TIMED_OUT if job.may_have_run else JobOutcome.REFUSED
-            job.finish(outcome, why)
+            if job.may_have_run:
+                job.finish(JobOutcome.TIMED_OUT, why)
+            else:
+                self._refuse(job, why)
 
     def place_waiting_jobs(self) -> None:
         """Place tasks of waiting jobs on agents with room, in dispatch order.
@@ -435,7 +437,7 @@
         )
         if refusal is not None:
             job.retry_after = refusal.retry_after
-            job.finish(JobOutcome.REFUSED, refusal.why)
+            self._refuse(job, refusal.why)
 
     async def _await_outcome(
         self, job: JobRun, call: Call, seconds: float
@@ -493,7 +495,12 @@
             retry_after = self.forecast.retry_after(job, cpu, self.timers.now())
             job.retry_after = max(job.retry_after, retry_after)
         job.retry_after = max(job.retry_after, NO_ROOM_RETRY_SECONDS)
-        job.finish(JobOutcome.REFUSED, why)
+        self._refuse(job, why)
+
+    def _refuse(self, job: JobRun, why: str) -> None:
+        """Refuse a job, or let it time out while a withdrawn run of it may go on."""
+        may_run = self.withdrawn.has_run_of(job.spec.id)
+        job.finish(JobOutcome.TIMED_OUT if may_run else JobOutcome.REFUSED, why)
 
     def _running_cpu(self) -> Counter[ServiceName]:
         """Return the CPU of this entry's tasks at all agents, by service."""
--- a/bergamotcourse/coordination/jobs/job_service.py
+++ b/bergamotcourse/coordination/jobs/job_service.py
@@ -58,10 +58,13 @@
         """Return the refusal of a job that has not been decoded yet, or ``None``.
 
         Under a shortage of processor time a share of the jobs is refused. A job that
-        is known here is not refused, because it may have started.
+        is known here is not refused, because it may have started, nor is one of which a
+        withdrawn run may go on.
         """
         if job_id in self.jobs.jobs or not self.processor.should_reject_job():
             return None
+        if self.jobs.withdrawn.has_run_of(job_id):
+            return None
         why = "this entry is short of processor time"
         lag_ms = round(self.processor.lag * 1000)
         self.log.write("job.refused", request=job_id, why=why, lag_ms=lag_ms)
--- a/bergamotcourse/coordination/jobs/withdrawn_runs.py
+++ b/bergamotcourse/coordination/jobs/withdrawn_runs.py
@@ -5,7 +5,7 @@
 """
 
 from bergamotcourse.coordination.jobs.job_run import JobRun, TaskRun, TaskState
-from bergamotcourse.state.job_spec import TaskName
+from bergamotcourse.state.job_spec import JobId, TaskName
 
 
 class WithdrawnRuns:
@@ -28,6 +28,10 @@
         if self.runs.get(task.name) is task and task.number == number:
             del self.runs[task.name]
 
+    def has_run_of(self, job_id: JobId) -> bool:
+        """Return whether a withdrawn run of a job may not have ended yet."""
+        return any(task.job.spec.id == job_id for task in self.runs.values())
+
     def continue_numbers(self, job: JobRun) -> None:
         """Number the runs of a new job after those of its former submission.
 
--- a/bergamotcourse/tests/jobs/test_rejoined_jobs.py
+++ b/bergamotcourse/tests/jobs/test_rejoined_jobs.py
@@ -81,6 +81,24 @@
 
         run_fleet(main, seed=seed)
 
+    def test_is_not_refused_while_its_former_run_may_go_on(self):
+        """Guards against 503 for a job of which a task runs to its end afterwards."""
+
+        async def main(fleet):
+            spec = job("a", tasks=1, work=WORK_SECONDS)
+            first = Call(fleet, spec)
+            await wait_for_runs(fleet, spec)
+            for agent in fleet.agents.values():
+                agent.freeze()
+            first.has_disconnected = True
+            first.notice_disconnect()
+            again = Call(fleet, spec)
+            await again.done.wait()
+            assert runs_of(fleet, "a")[0].ended_at is None
+            assert again.answer.outcome is JobOutcome.TIMED_OUT
+
+        run_fleet(main)
+
 
 class TestCallWithTimeLeft:
     def test_outlasts_the_deadline_of_an_earlier_call(self):
