Take a negative number of attempts in a route as one again

A route with a negative number of attempts made the whole configuration malformed since numbers have ranges; it was taken as one before.

--- a/bergamotcourse/platform/documents.py
+++ b/bergamotcourse/platform/documents.py
@@ -60,7 +60,7 @@
     path_prefix: str
     service: str
     priority: Integer = 0
-    max_attempts: Count = 1
+    max_attempts: Integer = 1
     slack_factor: Number = 1.0
     target_latency_ms: Number = 0.0
 
--- a/bergamotcourse/tests/platform/test_documents.py
+++ b/bergamotcourse/tests/platform/test_documents.py
@@ -66,6 +66,11 @@
         assert queue.target_latency == 0.06
         assert queue.objective(1.0) == pytest.approx(1.66)
 
+    def test_task_is_attempted_once_at_least(self):
+        route = {**CONFIG["routes"][0], "max_attempts": -1}
+        table = decode_queues(encode_with_changes(CONFIG, routes=[route]))
+        assert table.find("one.example", "/a/0123").max_attempts == 1
+
     def test_malformed_configuration_raises_value_error(self):
         with pytest.raises(ValueError):
             decode_queues(b'{"version": "x"}')
