Refuse a start of another request under a known id

A caller that used an idempotency key again, for another request and after the retention, could get 200 with the answer of the first request.

Cause: an agent keeps a start a quarter longer than the entries keep the claim, and longer yet if no other submission reaches it. In that time the owner of the range grants the key anew, with the same number of attempt and dispatch. The agent took the start for a copy of the first one and sent its stored result.

Now the start log compares the hash of the request. A start of another request is refused as not run, so the entry sends it to another agent. Expired starts are dropped before a start is looked up, also by an agent without other work.

--- a/bergamotcourse/coordination/agent.py
+++ b/bergamotcourse/coordination/agent.py
@@ -259,7 +259,7 @@
                 self._refuse(sender, start, admission.value, newer_epoch=True)
             case Admission.BARRED:
                 self._refuse(sender, start, admission.value, barred=True)
-            case Admission.EPOCHS_UNKNOWN | Admission.FULL:
+            case Admission.EPOCHS_UNKNOWN | Admission.FULL | Admission.OTHER_REQUEST:
                 self._refuse(sender, start, admission.value)
 
     def _refusal_reason(self, start: Start) -> str | None:
--- a/bergamotcourse/state/start_log.py
+++ b/bergamotcourse/state/start_log.py
@@ -2,8 +2,9 @@
 
 A start is admitted only if all of the following hold: its range's epoch is not older
 than the newest one that the agent has seen, its token was issued by this agent process
-and has not expired, its submission is not barred up to its attempt, and the task was
-never started before. All times are on the agent's own monotonic clock.
+and has not expired, no other request was started under its submission's id, its
+submission is not barred up to its attempt, and the task was never started before. All
+times are on the agent's own monotonic clock.
 """
 
 from collections import OrderedDict
@@ -26,6 +27,7 @@
     OLD_EPOCH = "the range has a newer epoch"
     STALE_TOKEN = "the token is too old"
     BARRED = "the submission is barred"
+    OTHER_REQUEST = "another request was started here under the key"
     EPOCHS_UNKNOWN = "the agent does not know the ranges' epochs yet"
     FULL = "the start log is full"
 
@@ -135,9 +137,12 @@
             return Admission.OLD_EPOCH
         if not self.token_is_current(start.token, now_ms):
             return Admission.STALE_TOKEN
+        self.evict_expired(now_ms)
         started = self.submissions.get(start.submission)
+        if started is not None and started.digest not in (b"", start.digest):
+            # The owner of the range forgets a submission earlier than this log.
+            return Admission.OTHER_REQUEST
         if started is None:
-            self.evict_expired(now_ms)
             if len(self.submissions) >= self.limit:
                 self.oldest_token_ms = now_ms + 1
                 return Admission.FULL
--- a/bergamotcourse/tests/state/test_start_log.py
+++ b/bergamotcourse/tests/state/test_start_log.py
@@ -78,6 +78,19 @@
         assert self.admit(log, order(log)) is Admission.BARRED
         assert self.admit(log, order(log, attempt=2)) is Admission.ADMITTED
 
+    def test_start_of_another_request_under_the_id_is_refused(self, log):
+        self.admit(log, order(log))
+        for dispatch in (1, 2):
+            other = order(log, dispatch=dispatch, digest=b"other")
+            assert self.admit(log, other) is Admission.OTHER_REQUEST
+        assert log.digest(b"s") == b"d"
+
+    def test_expired_submission_is_forgotten_without_another_start(self, log):
+        self.admit(log, order(log))
+        late = order(log, now_ms=60_001, digest=b"other")
+        assert self.admit(log, late, 60_001) is Admission.ADMITTED
+        assert log.digest(b"s") == b"other"
+
     def test_copy_of_start_refused_by_full_log_is_never_admitted(self):
         log = StartLog(
             9, token_ms=TOKEN_MS, retention_ms=20_000, limit=1, epochs_loaded=True
