Drop the stored result of a task that is started anew

After an entry was lost, a caller that submitted its request again could get 200 with the answer of an older request under the same key, while its own ran.

Cause: an agent keeps results by size and starts by age. Once the log had forgotten the old start, a new one was admitted under the same id, and until its end the old result counted as its own: in the reply to an entry that recovers the outcome, and in the answer to a copy of the start.

An admitted start now removes what is stored under its id and index. A result that may still be needed cannot go: a task that ran is not admitted again while the log knows it.

The test failed before, on the virtual clock: 200 "first" instead of "second".

--- a/bergamotcourse/coordination/agent.py
+++ b/bergamotcourse/coordination/agent.py
@@ -241,6 +241,8 @@
         admission = self.start_log.admit(start, sender, self.timers.now_ms())
         match admission:
             case Admission.ADMITTED:
+                # The log may have forgotten an earlier start, whose result is kept.
+                self.results.discard(start.submission, start.index)
                 self._admit_task(sender, start)
             case Admission.DUPLICATE:
                 self._resend_result(sender, start)
--- a/bergamotcourse/state/result_store.py
+++ b/bergamotcourse/state/result_store.py
@@ -33,15 +33,19 @@
 
     def add(self, submission: bytes, index: int, result: StoredResult) -> None:
         """Store a result and evict the oldest results beyond the limit."""
-        replaced = self.results.pop((submission, index), None)
-        if replaced is not None:
-            self.size -= RESULT_OVERHEAD_BYTES + len(replaced.body)
+        self.discard(submission, index)
         self.results[(submission, index)] = result
         self.size += RESULT_OVERHEAD_BYTES + len(result.body)
         while self.size > self.limit and self.results:
             _, oldest = self.results.popitem(last=False)
             self.size -= RESULT_OVERHEAD_BYTES + len(oldest.body)
 
+    def discard(self, submission: bytes, index: int) -> None:
+        """Remove a result if it is stored."""
+        removed = self.results.pop((submission, index), None)
+        if removed is not None:
+            self.size -= RESULT_OVERHEAD_BYTES + len(removed.body)
+
     def get(self, submission: bytes, index: int) -> StoredResult | None:
         """Return a stored result, or ``None`` if it is not stored."""
         return self.results.get((submission, index))
--- a/bergamotcourse/tests/coordination/test_reused_keys.py
+++ b/bergamotcourse/tests/coordination/test_reused_keys.py
@@ -10,6 +10,29 @@
 REMEMBERED_BY_AGENTS_SECONDS = 11.0
 """An age at which the entries have forgotten a key, and the agents have not."""
 
+FORGOTTEN_SECONDS = 14.0
+"""An age at which the agents have forgotten a key too."""
+
+
+async def call(fleet, entry, key, body, run_ms=10):
+    request = HttpRequest("POST", f"/s/voting/cast?run_ms={run_ms}", body=body)
+    request.headers = [("idempotency-key", key)]
+    return await fleet.call(entry, request)
+
+
+def run_fleet(script, **shape):
+    """Run a script with a fleet, and return what it returns."""
+
+    async def main():
+        async with trio.open_nursery() as nursery:
+            fleet = VirtualFleet(nursery, 1, FleetShape(**shape))
+            await fleet.start()
+            result = await script(fleet, nursery)
+            nursery.cancel_scope.cancel()
+        return result
+
+    return run_virtual(main, 1)
+
 
 class TestForgottenKey:
     """The owner of a key's range forgets it before the agents that ran its request."""
@@ -17,29 +40,15 @@
     def answers(self, agents):
         """Return the answers to two requests under one key, the second much later."""
 
-        async def main():
-            async with trio.open_nursery() as nursery:
-                shape = FleetShape(
-                    entries=1, agents=agents, retention_seconds=RETENTION_SECONDS
-                )
-                fleet = VirtualFleet(nursery, 1, shape)
-                await fleet.start()
-
-                async def call(key, body):
-                    headers = [("idempotency-key", key)]
-                    request = HttpRequest("POST", "/s/voting/cast?run_ms=10", headers)
-                    request.body = body
-                    return await fleet.call("entry-1", request)
-
-                first = await call("again", b"first")
-                await trio.sleep(REMEMBERED_BY_AGENTS_SECONDS)
-                # An entry drops expired keys when it takes a new one.
-                await call("other", b"other")
-                second = await call("again", b"second")
-                nursery.cancel_scope.cancel()
-            return first, second
-
-        return run_virtual(main, 1)
+        async def script(fleet, nursery):
+            first = await call(fleet, "entry-1", "again", b"first")
+            await trio.sleep(REMEMBERED_BY_AGENTS_SECONDS)
+            # An entry drops expired keys when it takes a new one.
+            await call(fleet, "entry-1", "other", b"other")
+            return first, await call(fleet, "entry-1", "again", b"second")
+
+        shape = {"entries": 1, "agents": agents}
+        return run_fleet(script, retention_seconds=RETENTION_SECONDS, **shape)
 
     def test_another_request_does_not_get_the_answer_of_the_first(self):
         first, second = self.answers(agents=1)
@@ -51,3 +60,22 @@
         _, second = self.answers(agents=2)
         assert second.status == 200
         assert second.body.endswith(b" second")
+
+    def test_running_request_is_not_answered_with_the_result_of_the_first(self):
+        """Guards against stored results that outlive the log of their starts."""
+
+        async def script(fleet, nursery):
+            await call(fleet, "entry-1", "again", b"first")
+            await trio.sleep(FORGOTTEN_SECONDS)
+            for entry in fleet.entries:
+                await call(fleet, entry, f"other-{entry}", b"other")
+            running = (fleet, "entry-1", "again", b"second", 4000)
+            nursery.start_soon(call, *running)
+            await trio.sleep(0.1)
+            assert fleet.starts()["second"] == 1
+            fleet.entries["entry-1"].kill()
+            return await call(fleet, "entry-2", *running[2:])
+
+        shape = {"entries": 2, "agents": 1}
+        answer = run_fleet(script, retention_seconds=RETENTION_SECONDS, **shape)
+        assert (answer.status, answer.body) == (200, b"upstream-1 POST second")
