Tell no conflict for a request that an agent has started

A caller that submitted its request again after an entry was lost could get 422 "not_run" while the request ran: the key had been used for another request before its retention, and one agent still remembered that.

Cause: the recovery of an outcome took any agent's start of another request for a proof that the key belongs to that one. Agents remember starts longer than the entries remember keys, so both requests can be known at different agents.

It is a conflict now only if no agent has started the request that is asked for. Otherwise the replies about the other request are left out: their agents refuse to start this one.

The test failed before, on the virtual clock: 422 with one start of the request.

--- a/bergamotcourse/coordination/answer_recovery.py
+++ b/bergamotcourse/coordination/answer_recovery.py
@@ -156,8 +156,11 @@
 def _evaluate_replies(
     lost: LostSubmission, replies: list[BarReply], proved: bool
 ) -> RecoveryFindings:
-    if any(reply.digest not in (b"", lost.digest) for reply in replies):
+    same = [reply for reply in replies if reply.digest in (b"", lost.digest)]
+    if len(same) < len(replies) and not any(reply.digest for reply in same):
         return RecoveryFindings(RecoveryVerdict.CONFLICT)
+    # An agent may still know an earlier request under a key that was used again.
+    replies = same
     started = {index for reply in replies for index in reply.started}
     running = {index for reply in replies for index in reply.running}
     results = {r.index: r for reply in replies for r in reply.results}
--- a/bergamotcourse/tests/coordination/test_reused_keys.py
+++ b/bergamotcourse/tests/coordination/test_reused_keys.py
@@ -79,3 +79,24 @@
         shape = {"entries": 2, "agents": 1}
         answer = run_fleet(script, retention_seconds=RETENTION_SECONDS, **shape)
         assert (answer.status, answer.body) == (200, b"upstream-1 POST second")
+
+    def test_running_request_is_no_conflict_with_the_first(self):
+        """Guards against "not run" for a request that runs at another agent."""
+
+        async def script(fleet, nursery):
+            await call(fleet, "entry-1", "again", b"first")
+            await trio.sleep(REMEMBERED_BY_AGENTS_SECONDS)
+            for entry in fleet.entries:
+                await call(fleet, entry, f"other-{entry}", b"other")
+            running = (fleet, "entry-1", "again", b"second", 4000)
+            nursery.start_soon(call, *running)
+            await trio.sleep(0.1)
+            assert fleet.starts()["second"] == 1
+            fleet.entries["entry-1"].kill()
+            answer = await call(fleet, "entry-2", *running[2:])
+            return answer, fleet.starts()["second"]
+
+        shape = {"entries": 2, "agents": 2}
+        answer, starts = run_fleet(script, retention_seconds=RETENTION_SECONDS, **shape)
+        assert (answer.status, starts) == (200, 1)
+        assert answer.body.endswith(b" second")
