Skip empty lines after a request

A client that ends a body with an empty line, as some do, got a second response to it: 400 "no request line received". It reads that as the response to its next request, whose own answer never comes.

RFC 9112, section 2.2, asks a server to ignore an empty line before a request line; the parser takes it for a malformed one. Empty lines between two requests are now removed before they reach the parser, and do not end the wait for the next request: neither the timeout for headers begins, nor the one for idle connections anew. An empty line as the first bytes of a connection is refused as before.

The tests failed before: responses 200 and 400 instead of two of 200, with the line in the same read, later, or in parts. The connection of the test of idle ones ended after 2 s with that response instead of after 75 s without.

--- a/bergamotcourse/tests/transport/test_http_server.py
+++ b/bergamotcourse/tests/transport/test_http_server.py
@@ -181,6 +181,40 @@
         exchange(GET + LAST_GET, handler=handler)
         assert seen == [("peer", 7, "a")] * 2
 
+    @pytest.mark.parametrize("parts", [[b"\r\n"], [b"\r\n\r\n"], [b"\r", b"\n"]])
+    @pytest.mark.parametrize("apart", [True, False])
+    def test_empty_line_after_body_is_no_request(self, parts, apart):
+        """Guards against an error that the client takes for its next response."""
+        first = POST + b"content-length: 3\r\n\r\nabc"
+
+        async def script(client, connection):
+            if apart:
+                await client.send_all(first)
+                answer = await read_until(client, b"POST /a abc")
+                for part in parts:
+                    await client.send_all(part)
+                    await trio.sleep(LIMITS.header_seconds)
+                await client.send_all(LAST_GET)
+            else:
+                answer = b""
+                await client.send_all(first + b"".join(parts) + LAST_GET)
+            return answer + await read_all(client)
+
+        answer = converse(script)
+        assert statuses(answer) == [200, 200]
+        assert answer.endswith(b"GET /last ")
+
+    def test_empty_lines_do_not_keep_an_idle_connection(self):
+        async def script(client, connection):
+            await client.send_all(GET)
+            with pytest.raises(trio.BrokenResourceError):
+                while True:
+                    await client.send_all(b"\r\n")
+                    await trio.sleep(1)
+            return trio.current_time()
+
+        assert converse(script) == pytest.approx(LIMITS.idle_seconds, abs=2)
+
     @pytest.mark.parametrize("wait", [True, False])
     def test_expect_continue_is_sent_only_if_body_is_missing(self, wait):
         async def script(client, connection):
--- a/bergamotcourse/transport/http_connection.py
+++ b/bergamotcourse/transport/http_connection.py
@@ -69,10 +69,9 @@
         self.stopping = False
         self.received = b""
         self.input_ended = False
-        self._http = h11.Connection(
-            h11.SERVER, max_incomplete_event_size=limits.header_bytes
-        )
+        self._http = new_http(limits)
         self._reader = RequestReader(self._http, limits, peer, number)
+        self._has_answered = False
         self._idle_scope: trio.CancelScope | None = None
         self._handler_scope: trio.CancelScope | None = None
         self._bytes_arrived = trio.lowlevel.ParkingLot()
@@ -148,6 +147,7 @@
             if not is_reusable(self._http):
                 return True
             self._http.start_next_cycle()
+            self._has_answered = True
 
     async def _receive_request(self) -> HttpRequest | HttpResponse | None:
         """Return a request, an error response to it, or ``None`` if none arrived."""
@@ -168,19 +168,38 @@
         return response
 
     async def _wait_for_first_byte(self) -> bool:
-        if self.received or self._http.trailing_data[0]:
+        if self._skip_empty_lines():
             return True
         seconds = STOP_GRACE_SECONDS if self.stopping else self.limits.idle_seconds
         with trio.CancelScope(
             deadline=trio.current_time() + seconds
         ) as self._idle_scope:
-            await self._wait_for_bytes()
+            while not self._skip_empty_lines() and not self.input_ended:
+                await self._wait_for_bytes()
         if self._idle_scope.cancelled_caught:
             # After a pause of the process, bytes may be readable although the deadline
             # has passed.
             await trio.lowlevel.checkpoint()
         self._idle_scope = None
-        return bool(self.received)
+        return self._skip_empty_lines()
+
+    def _skip_empty_lines(self) -> bool:
+        """Skip empty lines after a request; return whether a part of the next is there.
+
+        Some clients send an empty line after a body. An error response to it would be
+        read as the response to their next request.
+        """
+        parsed = self._http.trailing_data[0]
+        if not self._has_answered:
+            return bool(parsed or self.received)
+        if parsed.startswith((b"\r", b"\n")):
+            self.received = parsed + self.received
+            self._http = self._reader.http = new_http(self.limits)
+            parsed = b""
+        if not parsed and self.received.startswith((b"\r", b"\n")):
+            self.received = self.received.lstrip(b"\r\n")
+            self._bytes_consumed.unpark_all()
+        return bool(parsed or self.received)
 
     async def _receive_rest(self) -> HttpRequest | HttpResponse | None:
         """Receive the rest of a request.
@@ -276,6 +295,11 @@
         return encode_message(self._http, head, response.body)
 
 
+def new_http(limits: ServerLimits) -> h11.Connection:
+    """Return the state of the HTTP protocol on a new connection."""
+    return h11.Connection(h11.SERVER, max_incomplete_event_size=limits.header_bytes)
+
+
 async def lingering_close(stream: trio.abc.HalfCloseableStream) -> None:
     """Shut down sending, then wait up to a timeout for the client to close.
 
