Refuse an asynchronous job whose key names another one

A caller that submitted a job with "Prefer: respond-async" under the key of another job got 202, and from the location the answer of that other job. The documentation promises 422, as without the header.

Cause: an asynchronous submission was dropped if its key was known, without a comparison of the hashes. It is compared now with the job that waits for its claim, runs or is kept at the entry. A conflict with a job of another entry is still found after the 202 only.

The test failed before: 202 instead of 422, with a job that had just been submitted, that ran, and that had ended.

--- a/bergamotcourse/coordination/submissions.py
+++ b/bergamotcourse/coordination/submissions.py
@@ -48,11 +48,13 @@
     """A keyed submission without an answer yet; callers with the same key join it.
 
     Attributes:
+        digest: Hash of the request.
         decided: Set once it runs at this entry, or has an answer otherwise.
         answered: Set once it has an answer.
         answer: The answer, once it is set.
     """
 
+    digest: bytes
     decided: trio.Event = field(default_factory=trio.Event)
     answered: trio.Event = field(default_factory=trio.Event)
     answer: SubmissionAnswer | None = None
@@ -127,15 +129,21 @@
         await joining.answered.wait()
         return joining.answer
 
-    def start_keyed(self, submission: Submission, write_ahead: bool) -> None:
+    def start_keyed(self, submission: Submission, write_ahead: bool) -> Refused | None:
         """Start a submission whose answer is requested later.
 
         ``wait`` knows it from this call on.
+
+        Returns:
+            ``CONFLICT`` if this entry knows another request under the key.
         """
         self._cap_deadline(submission)
-        known = submission.id in self.joining or self.answers.get(submission.id)
-        if not known:
+        known = self.joining.get(submission.id) or self.answers.get(submission.id)
+        if known is None:
             self._start_claim(submission, write_ahead)
+        elif known.digest != submission.digest:
+            return CONFLICT
+        return None
 
     def find(self, submission_id: bytes) -> Submission | None:
         """Return a submission that runs at this entry or whose answer is kept."""
@@ -201,7 +209,7 @@
         submission.deadline = min(submission.deadline, latest)
 
     def _start_claim(self, submission: Submission, write_ahead: bool) -> "Joining":
-        joining = Joining()
+        joining = Joining(submission.digest)
         self.joining[submission.id] = joining
         self.nursery.start_soon(
             self._claim_and_answer, submission, write_ahead, joining
--- a/bergamotcourse/daemons/caller.py
+++ b/bergamotcourse/daemons/caller.py
@@ -103,11 +103,15 @@
         finally:
             self.entry.tracer.end_trace(submission)
 
-    def start_keyed(self, submission: Submission, key: str) -> None:
-        """Start a submission under its key without waiting for its result."""
+    def start_keyed(self, submission: Submission, key: str) -> Refused | None:
+        """Start a submission under its key without waiting for its result.
+
+        Returns:
+            Why it was refused, or ``None``.
+        """
         self.assign_key(submission, key)
         write_ahead = self.access.manifest.write_ahead
-        self.entry.submissions.start_keyed(submission, write_ahead)
+        return self.entry.submissions.start_keyed(submission, write_ahead)
 
     def _may_submit(self, service: str) -> bool:
         if service not in self.team.services:
--- a/bergamotcourse/daemons/job_api.py
+++ b/bergamotcourse/daemons/job_api.py
@@ -7,7 +7,7 @@
 
 from bergamotcourse.daemons.caller import Caller
 from bergamotcourse.daemons.request_fields import KEY_HEADER, check_key, parse_seconds
-from bergamotcourse.daemons.responses import job_response, problem
+from bergamotcourse.daemons.responses import job_response, problem, refused_response
 from bergamotcourse.ids import submission_id
 from bergamotcourse.protocol.job_body import JobBody, parse_job, task_request
 from bergamotcourse.state.keys import key_kind
@@ -82,7 +82,9 @@
     bad_key = check_key(key)
     if bad_key:
         return _bad_request(bad_key)
-    caller.start_keyed(submission, key)
+    refusal = caller.start_keyed(submission, key)
+    if refusal is not None:
+        return refused_response(caller.entry.rng, refusal)
     return _accepted_response(key, [])
 
 
--- a/bergamotcourse/tests/coordination/test_reused_keys.py
+++ b/bergamotcourse/tests/coordination/test_reused_keys.py
@@ -1,10 +1,13 @@
 """Idempotency keys that are used again for another request."""
 
+import json
+
+import pytest
 import trio
 
 from bergamotcourse.transport.http import HttpRequest
 from bergamotcourse.virtual.clock import run_virtual
-from bergamotcourse.virtual.fleet import FleetShape, VirtualFleet
+from bergamotcourse.virtual.fleet import SERVICE, FleetShape, VirtualFleet
 
 RETENTION_SECONDS = 10.0
 REMEMBERED_BY_AGENTS_SECONDS = 11.0
@@ -100,3 +103,29 @@
         answer, starts = run_fleet(script, retention_seconds=RETENTION_SECONDS, **shape)
         assert (answer.status, starts) == (200, 1)
         assert answer.body.endswith(b" second")
+
+
+class TestAsynchronousJob:
+    @pytest.mark.parametrize(
+        "pause", [0.0, 0.1, 2.0], ids=["at once", "running", "ended"]
+    )
+    def test_another_job_under_the_key_is_a_conflict(self, pause):
+        """Guards against a location that leads to the answer of another job."""
+
+        def submit(fleet, body):
+            tasks = [{"target": "/count?run_ms=1000", "body": body}]
+            request = HttpRequest("POST", "/v1/jobs")
+            request.headers = [("idempotency-key", "x"), ("prefer", "respond-async")]
+            request.body = json.dumps({"service": SERVICE, "tasks": tasks}).encode()
+            return fleet.call("entry-1", request)
+
+        async def script(fleet, nursery):
+            statuses = []
+            for body in ["first", "first", "second"]:
+                statuses.append((await submit(fleet, body)).status)
+                await trio.sleep(pause)
+            return statuses, fleet.starts()
+
+        statuses, starts = run_fleet(script, entries=1, agents=1)
+        assert statuses == [202, 202, 422]
+        assert "second" not in starts
