Pass on the length in the response to a HEAD request

A caller that sent HEAD to a session path got "content-length: 0", whatever the upstream had answered: each resource seemed to be empty.

Cause: the agent drops the upstream's content-length, as that of each hop is counted anew; a response to HEAD has no body to count. The agent keeps it for this method, and the server takes a valid length that the response names, if the response has no body. Other methods are framed as before.

The tests failed before: "0" instead of "16" through entry and agent, and instead of "99" from the server.

--- a/bergamotcourse/coordination/runner.py
+++ b/bergamotcourse/coordination/runner.py
@@ -293,7 +293,11 @@
 
 def _result_of_response(start: Start, answer: HttpResponse) -> TaskResult:
     failed = answer.status >= FIRST_SERVER_ERROR_STATUS
-    headers = [Header(n, v) for n, v in answer.headers if n not in HOP_BY_HOP_HEADERS]
+    dropped = HOP_BY_HOP_HEADERS
+    if start.method == "HEAD":
+        # It describes the resource; there is no body whose length could be counted.
+        dropped = dropped - {"content-length"}
+    headers = [Header(n, v) for n, v in answer.headers if n not in dropped]
     return TaskResult(
         submission=start.submission,
         index=start.index,
--- a/bergamotcourse/tests/daemons/test_end_to_end.py
+++ b/bergamotcourse/tests/daemons/test_end_to_end.py
@@ -52,6 +52,12 @@
         assert reply.body.endswith(f"POST one-{entry}".encode())
         assert reply.headers["bergamotcourse-outcome"] == "done"
 
+    def test_head_request_returns_length_of_the_resource(self, fleet):
+        """Guards against a resource that seems to be empty."""
+        reply = fleet.request(ENTRIES[0], "HEAD", "/s/voting/cast")
+        assert (reply.status, reply.body) == (200, b"")
+        assert reply.headers["content-length"] == str(len("upstream-1 HEAD "))
+
     @pytest.mark.parametrize("entry", ENTRIES)
     def test_job_returns_all_results_in_order(self, fleet, entry):
         reply = fleet.request(
--- a/bergamotcourse/tests/transport/test_http_server.py
+++ b/bergamotcourse/tests/transport/test_http_server.py
@@ -171,6 +171,22 @@
         assert b"content-length: 11\r\n" in answer
         assert answer.endswith(b"\r\n\r\n")
 
+    @pytest.mark.parametrize(
+        ("named", "body", "length"),
+        [("99", b"", 99), ("99", b"abc", 3), ("x", b"", 0), ("\u0661", b"", 0)],
+    )
+    def test_head_response_without_body_has_the_length_that_it_names(
+        self, named, body, length
+    ):
+        async def handler(request):
+            return HttpResponse(200, [("Content-Length", named)], body)
+
+        head = GET.replace(b"GET", b"HEAD")
+        answer = exchange(head + LAST_GET, handler=handler)
+        assert statuses(answer) == [200, 200]
+        lengths = re.findall(rb"content-length: (\S+)\r\n", answer)
+        assert lengths == [b"%d" % length, b"%d" % len(body)]
+
     def test_handler_gets_peer_and_connection_number(self):
         seen = []
 
--- a/bergamotcourse/transport/http_connection.py
+++ b/bergamotcourse/transport/http_connection.py
@@ -285,7 +285,7 @@
     def _encode(self, response: HttpResponse) -> bytes:
         close = response.close or self.close_after_response
         try:
-            head = response_head(response, close)
+            head = response_head(response, close, self._reader.method)
         except ValueError:
             logger.exception("handler returned a response that cannot be encoded")
             response = plain_problem(500, "the request could not be handled")
--- a/bergamotcourse/transport/http_wire.py
+++ b/bergamotcourse/transport/http_wire.py
@@ -50,15 +50,26 @@
     return [(name.decode("ascii"), value.decode("latin-1")) for name, value in headers]
 
 
-def response_head(response: HttpResponse, close: bool) -> h11.Response:
+def response_head(
+    response: HttpResponse, close: bool, method: bytes = b""
+) -> h11.Response:
     """Return the head of a response.
 
+    Args:
+        response: The response. Without a body it may name the length that it would
+            have in response to ``GET``.
+        close: Whether the connection is closed after it.
+        method: The method of the request.
+
     Raises:
         ValueError: The status or a header is invalid, or cannot be encoded.
     """
     headers = wire_headers(response.headers)
     if response.status not in BODILESS_STATUSES:
-        headers.append((b"content-length", b"%d" % len(response.body)))
+        length = _named_length(response) if method == b"HEAD" else None
+        if response.body or length is None:
+            length = b"%d" % len(response.body)
+        headers.append((b"content-length", length))
     if close:
         headers.append((b"connection", b"close"))
     try:
@@ -67,6 +78,14 @@
         raise ValueError(str(error)) from error
 
 
+def _named_length(response: HttpResponse) -> bytes | None:
+    """Return the length that a response names, or ``None`` if it names no valid one."""
+    for name, value in response.headers:
+        if name.lower() == "content-length" and value.isascii() and value.isdigit():
+            return value.encode()
+    return None
+
+
 def request_head(request: HttpRequest, host: str) -> h11.Request:
     """Return the head of a request; ``host`` is used unless it has a host header.
 
