Refuse CONNECT before it is handled

A request with the method CONNECT was handled, also at an upstream, and then its caller got no answer: the connection was closed, with a traceback in the log.

Cause: a success in response to CONNECT turns the connection into a tunnel, in which the parser sends no body. The method is refused with 501 as soon as the head is there.

The case failed before: the handler was called (500, as the handler of this test fails). By hand with a handler that succeeds: LocalProtocolError, no answer.

--- a/bergamotcourse/tests/transport/test_http_server.py
+++ b/bergamotcourse/tests/transport/test_http_server.py
@@ -276,6 +276,7 @@
             (POST + b"content-length: -1\r\n\r\n", False, 400),
             (CHUNKED + b"zz\r\n", False, 400),
             (POST + b"transfer-encoding: gzip\r\n\r\n", False, 501),
+            (GET.replace(b"GET", b"CONNECT"), False, 501),
             (GET[:-2] + b"x: " + b"a" * 200 + b"\r\n\r\n", False, 431),
             (GET[:-2] + b"x: " + b"a" * 200, False, 431),
             (POST + b"content-length: 11\r\n\r\n", False, 413),
--- a/bergamotcourse/transport/http_reader.py
+++ b/bergamotcourse/transport/http_reader.py
@@ -96,6 +96,9 @@
                     return None
 
     def _check_head(self, head: h11.Request) -> None:
+        if head.method == b"CONNECT":
+            # A success would turn the connection into a tunnel.
+            raise h11.RemoteProtocolError("tunnels are not supported", 501)
         size = len(head.method) + len(head.target)
         size += sum(len(name) + len(value) for name, value in head.headers)
         if size > self.limits.header_bytes:
