Set the headers of an entry by the entry only

A caller whose upstream sends the header Bergamotcourse-Outcome, for example because it is an entry of another system, got two values of it, the upstream's first; likewise two of Idempotency-Key-Prefix. A caller that takes the first value would read another outcome, or use a prefix that this system refuses.

Headers of these names are no longer taken over from an upstream's response.

--- a/bergamotcourse/daemons/entry_api.py
+++ b/bergamotcourse/daemons/entry_api.py
@@ -12,14 +12,12 @@
     submit_job,
     wait_for_job,
 )
-from bergamotcourse.daemons.responses import problem
+from bergamotcourse.daemons.responses import PREFIX_HEADER, problem
 from bergamotcourse.daemons.session_api import SESSION_PREFIX, answer_session
 from bergamotcourse.ids import ConfigVersion
 from bergamotcourse.state.manifest import Manifest
 from bergamotcourse.transport.http import HttpRequest, HttpResponse
 
-PREFIX_HEADER = "idempotency-key-prefix"
-
 
 class EntryApi:
     """Handles the requests of callers.
--- a/bergamotcourse/daemons/responses.py
+++ b/bergamotcourse/daemons/responses.py
@@ -16,6 +16,10 @@
 from bergamotcourse.transport.http import HttpResponse
 
 OUTCOME_HEADER = "bergamotcourse-outcome"
+PREFIX_HEADER = "idempotency-key-prefix"
+ENTRY_HEADERS = frozenset((OUTCOME_HEADER, PREFIX_HEADER))
+"""Set by the entry only; those of an upstream are not passed on."""
+
 RETRY_JITTER_SHARE = 0.5
 """Share by which Retry-After is randomly extended, so that retries spread out."""
 
@@ -29,7 +33,11 @@
             return refused_response(rng, answer)
         case Completed(results=[result]):
             if result.outcome in (Outcome.DONE, Outcome.FAILED):
-                headers = [(h.name, h.value) for h in result.headers]
+                headers = [
+                    (h.name, h.value)
+                    for h in result.headers
+                    if h.name not in ENTRY_HEADERS
+                ]
                 headers.append((OUTCOME_HEADER, result.outcome.value))
                 return HttpResponse(result.status, headers, result.body)
             refused = Refused(result.outcome, result.detail, retry_after=1.0)
