Test that no connection is reused after an abandoned request

A caller of the HTTP client that times out or is cancelled at any part of a response, or of the response to the identity check, must not leave a connection on which a later request reads the rest. No test guarded the cut identity check.

--- a/bergamotcourse/tests/transport/test_http_client.py
+++ b/bergamotcourse/tests/transport/test_http_client.py
@@ -1,3 +1,4 @@
+import contextlib
 from contextlib import asynccontextmanager
 
 import pytest
@@ -323,6 +324,60 @@
     return HttpResponse(200, body=f"{request.connection} {request.target}".encode())
 
 
+class TestAbandonedRequest:
+    """The server sends each response in parts, one each second."""
+
+    PARTS = [b"HTTP/1.1 200 ", b"OK\r\n", b"content-length: 2\r\n", b"\r\n", b"o"]
+
+    @pytest.mark.parametrize("by_timeout", [True, False], ids=["timeout", "cancel"])
+    @pytest.mark.parametrize("checked", [True, False], ids=["check", "no check"])
+    def test_next_request_gets_its_own_response(self, checked, by_timeout):
+        """Guards against a late response that a reused connection delivers."""
+        check = IdentityCheck(HttpRequest("GET", "/i"), lambda _response: None)
+
+        async def serve(server):
+            data = b""
+            with trio.move_on_after(1000):
+                while part := await server.receive_some():
+                    data += part
+                    while b"\r\n\r\n" in data:
+                        head, _, data = data.partition(b"\r\n\r\n")
+                        for piece in [*self.PARTS, head[5:6]]:
+                            await trio.sleep(1)
+                            await server.send_all(piece)
+
+        async def give_up_after(seconds):
+            async with trio.open_nursery() as nursery:
+
+                async def connect(host, port):
+                    client, server = memory_stream_pair()
+                    nursery.start_soon(ignore_broken, serve, server)
+                    return client
+
+                identity = check if checked else None
+                client = HttpClient(
+                    "a", 1, connections=1, connect=connect, identity_check=identity
+                )
+                with trio.move_on_after(1000 if by_timeout else seconds):
+                    await client.request(
+                        HttpRequest("GET", "/1"), seconds if by_timeout else 1000
+                    )
+                result = await client.request(HttpRequest("GET", "/2"), 100)
+                nursery.cancel_scope.cancel()
+            return result.ok.body
+
+        async def script():
+            return [await give_up_after(half / 2) for half in range(1, 28)]
+
+        assert set(run_on_virtual_clock(script)) == {b"o2"}
+
+
+async def ignore_broken(serve, server):
+    """Serve a connection until the client closes it."""
+    with contextlib.suppress(trio.BrokenResourceError):
+        await serve(server)
+
+
 class TestWithServer:
     def test_concurrent_callers_share_connections_and_get_own_responses(self):
         seen = []
