Send no response after a part of 100-continue

A client that received slowly could get 408 in the middle of "HTTP/1.1 100".

Cause: the interim response is sent within the time for the request. If that ended while the client's window was full, the refusal was sent after the part that had gone out. The connection is closed without one now.

The test failed before, on a stream that stalls after five bytes: these, followed by 408.

--- a/bergamotcourse/tests/transport/test_http_server.py
+++ b/bergamotcourse/tests/transport/test_http_server.py
@@ -338,6 +338,25 @@
 
         assert statuses(converse(script)) == [408]
 
+    def test_no_response_follows_a_part_of_100_continue(self):
+        """Guards against a response inside of another one."""
+
+        def pair():
+            client, server = memory_stream_pair()
+            send_all = server.send_all
+
+            async def stall(data):
+                if data.startswith(b"HTTP/1.1 100"):
+                    await send_all(data[:5])
+                    await trio.sleep_forever()
+                await send_all(data)
+
+            server.send_all = stall
+            return client, server
+
+        head = POST + b"expect: 100-continue\r\ncontent-length: 3\r\n\r\n"
+        assert exchange(head, pair=pair) == b"HTTP/"
+
     def test_client_that_does_not_read_is_closed(self):
         async def script(client, connection):
             await client.send_all(GET)
--- a/bergamotcourse/transport/http_connection.py
+++ b/bergamotcourse/transport/http_connection.py
@@ -72,6 +72,7 @@
         self._http = new_http(limits)
         self._reader = RequestReader(self._http, limits, peer, number)
         self._has_answered = False
+        self._output_cut = False
         self._idle_scope: trio.CancelScope | None = None
         self._handler_scope: trio.CancelScope | None = None
         self._bytes_arrived = trio.lowlevel.ParkingLot()
@@ -206,7 +207,8 @@
 
         Returns:
             The request, an error response if it was not complete in time, or ``None``
-            if the client closed the connection.
+            if the client closed the connection or has received only a part of what
+            was sent.
         """
         limits = self.limits
         deadline = trio.current_time() + limits.header_seconds
@@ -222,6 +224,8 @@
                 if request := self._parse_received():
                     return request
             return None
+        if self._output_cut:
+            return None
         return self._refusal(408, "the request did not arrive in time")
 
     def _parse_received(self) -> HttpRequest | None:
@@ -238,10 +242,13 @@
 
     async def _send_continue(self) -> None:
         continue_response = h11.InformationalResponse(status_code=100, headers=[])
+        self._output_cut = True
         try:
             await self.stream.send_all(self._http.send(continue_response))
         except trio.BrokenResourceError:
             self.input_ended = True
+        else:
+            self._output_cut = False
 
     async def _answer(self, request: HttpRequest) -> bool:
         """Handle a request, send the response, and return whether it was sent.
