Move the decoding of other programs' documents below the adapters

decode_document turns each failure of a decoder, also a RecursionError, into a ValueError. The readers of the platform's rows need it too, and may not import the adapter. No change of behaviour; the tests of the adapter's decoders pass before and after.

--- a/bergamotcourse/platform/documents.py
+++ b/bergamotcourse/platform/documents.py
@@ -6,7 +6,7 @@
 from collections.abc import Callable
 from dataclasses import dataclass
 from enum import Enum
-from typing import Annotated, Any
+from typing import Annotated
 
 import msgspec
 
@@ -19,6 +19,7 @@
 )
 from bergamotcourse.platform.settings_file import is_address
 from bergamotcourse.protocol.upstream_orders import LifeKey, UpstreamReport
+from bergamotcourse.state.decoding import decode_document
 from bergamotcourse.state.job_spec import (
     JobId,
     JobQueue,
@@ -45,9 +46,6 @@
 MAX_ID_LENGTH = 200
 MAX_LABELS = 64
 
-MAX_ERROR_CHARACTERS = 200
-"""Errors may contain texts of the document, and are logged."""
-
 MAX_REMAINING_MS = 600_000
 """Ten minutes. No upstream stays cold, or drains with runs, for longer."""
 
@@ -170,8 +168,6 @@
     fault: FieldFault
 
 
-Decoder = msgspec.json.Decoder | msgspec.msgpack.Decoder
-
 _config_decoder = msgspec.json.Decoder(WireConfig)
 _job_decoder = msgspec.json.Decoder(WireJob)
 _departure_decoder = msgspec.json.Decoder(WireDeparture)
@@ -179,21 +175,6 @@
 _number_decoder = msgspec.json.Decoder(int | float)
 
 
-def decode_document(decoder: Decoder, body: bytes) -> Any:
-    """Return the document in a body.
-
-    Raises:
-        ValueError: It is malformed, a value is out of range, or it is nested too deeply
-            to be decoded.
-    """
-    try:
-        return decoder.decode(body)
-    except RecursionError as error:
-        raise ValueError("it is nested too deep") from error
-    except ValueError as error:
-        raise ValueError(str(error)[:MAX_ERROR_CHARACTERS]) from error
-
-
 def decode_queues(content: bytes) -> QueueTable:
     """Return the queues that a configuration defines.
 
--- a/bergamotcourse/platform/worker_orders.py
+++ b/bergamotcourse/platform/worker_orders.py
@@ -5,7 +5,6 @@
 import msgspec
 
 from bergamotcourse.ids import Incarnation
-from bergamotcourse.platform.documents import decode_document
 from bergamotcourse.platform.settings_file import parse_endpoint
 from bergamotcourse.protocol.upstream_orders import (
     EndedRun,
@@ -20,6 +19,7 @@
     StartVerdict,
     UpstreamReport,
 )
+from bergamotcourse.state.decoding import decode_document
 from bergamotcourse.state.job_spec import TaskName
 from bergamotcourse.state.ranges import Count, Milliseconds, Number
 from bergamotcourse.transport.http import HttpRequest, HttpResponse
