Skip an agent's row that cannot be decoded

An entry that read one odd row among those of the agents ended, and again at each start for as long as the row stayed; an agent ended as it registered, if another program had overwritten its row. Malformed content sufficed, besides deep nesting and numbers out of range.

Cause: the rows were decoded without handling any error, in subscriptions of timers. decode_agent_row turns each failure into a ValueError, with ranges as annotated types, and refuses a port out of range and the row of another agent. A row that cannot be decoded is logged once for each version and hides no other; an agent overwrites its own.

Skipping alone would let a recovery miss what such an agent started, if this entry does not know the agent's address, and take a submission as proved not to have run. Until its row can be decoded the agent counts as one whose start log cannot be read.

--- a/bergamotcourse/coordination/agents.py
+++ b/bergamotcourse/coordination/agents.py
@@ -112,6 +112,8 @@
         views: The agents by name.
         by_address: The agents by link address.
         departed: Times in seconds at which agents departed; their start logs are lost.
+        unreachable: Agents whose rows cannot be decoded and whose addresses are not
+            known, so that their start logs cannot be read.
         drains: Drains of the configuration in force.
         permits: The upstreams that may get new tasks; ``None`` for all.
     """
@@ -121,6 +123,7 @@
         self.views: dict[AgentId, AgentView] = {}
         self.by_address: dict[LinkAddress, AgentView] = {}
         self.departed: dict[AgentId, float] = {}
+        self.unreachable: set[AgentId] = set()
         self.drains = Drains()
         self.permits: Permits | None = None
 
@@ -131,6 +134,7 @@
     def add(self, agent: AgentId, address: LinkAddress, zone: str = "") -> AgentView:
         """Add an agent or update its address; return its view."""
         self.departed.pop(agent, None)
+        self.unreachable.discard(agent)
         view = self.views.get(agent)
         if view is None:
             view = AgentView(agent, address, zone)
@@ -151,14 +155,19 @@
         view = self.views.get(AgentId(agent))
         return view is not None and view.address != address
 
-    def departed_since(self, when: float) -> list[AgentId]:
-        """Return the agents that departed at or after a time in seconds."""
-        return [agent for agent, at in self.departed.items() if at >= when]
+    def unavailable_since(self, when: float) -> set[AgentId]:
+        """Return the agents whose start logs from a time in seconds on cannot be read.
+
+        They departed at or after that time, or are unreachable.
+        """
+        departed = {agent for agent, at in self.departed.items() if at >= when}
+        return departed | self.unreachable
 
     def remove(self, agent: AgentId, now: float) -> AgentView | None:
         """Remove a departed agent and record the time of its departure."""
         view = self.views.pop(agent, None)
         self.departed[agent] = now
+        self.unreachable.discard(agent)
         if view is not None:
             self.by_address.pop(view.address, None)
         return view
--- a/bergamotcourse/coordination/answer_recovery.py
+++ b/bergamotcourse/coordination/answer_recovery.py
@@ -109,7 +109,7 @@
         complete = await self.list_agents()
         agents = {view.id: view.address for view in self.directory}
         max_age_seconds = lost.age_ms / 1000 * (1 + MAX_CLOCK_DRIFT_RATIO)
-        if self.directory.departed_since(query_started - max_age_seconds):
+        if self.directory.unavailable_since(query_started - max_age_seconds):
             complete = False
         replies = await self._query_agents(lost, agents)
         proved = complete and all(
--- a/bergamotcourse/coordination/membership.py
+++ b/bergamotcourse/coordination/membership.py
@@ -21,12 +21,18 @@
     AgentView,
 )
 from bergamotcourse.coordination.neighbours import Demand, Neighbours, ProcessLocation
+from bergamotcourse.coordination.skipped_rows import SkippedRows
 from bergamotcourse.coordination.timers import Timers
 from bergamotcourse.ids import AgentId, EntryId, LinkAddress
 from bergamotcourse.protocol.mailer import Mailer
 from bergamotcourse.protocol.messages import Attach, Detach
 from bergamotcourse.protocol.platform import ABSENT, Conflict, Platform, Row, Write
-from bergamotcourse.state.lease_rows import AGENT_PREFIX, AgentRow, agent_key
+from bergamotcourse.state.lease_rows import (
+    AGENT_PREFIX,
+    AgentRow,
+    agent_key,
+    decode_agent_row,
+)
 
 logger = logging.getLogger(__name__)
 
@@ -70,6 +76,7 @@
         row_renewals: Version and time of the last change of each agent's row.
         neighbours: The order and the limit of the attachments.
         chosen_agents: Agents that this entry is to be attached to.
+        skipped_rows: Agents' rows that could not be decoded.
     """
 
     def __init__(
@@ -99,6 +106,7 @@
         self.row_renewals: dict[AgentId, ObservedRow] = {}
         self.services: dict[AgentId, list[str]] = {}
         self.chosen_agents: set[AgentId] = set()
+        self.skipped_rows = SkippedRows()
 
     async def watch(self) -> bool:
         """Read the changed rows of agents and return whether the platform answered."""
@@ -161,7 +169,11 @@
 
     def _apply_row(self, row: Row) -> None:
         agent = AgentId(row.key.removeprefix(AGENT_PREFIX))
-        content = msgspec.json.decode(row.value, type=AgentRow) if row.value else None
+        try:
+            content = decode_agent_row(row.key, row.value) if row.value else None
+        except ValueError as error:
+            self._skip_row(agent, row, error)
+            return
         if content is None or content.left:
             self._remove(agent)
             return
@@ -172,6 +184,12 @@
             view.row_boot = content.boot
             view.last_attach = NEVER
 
+    def _skip_row(self, agent: AgentId, row: Row, error: ValueError) -> None:
+        self.skipped_rows.log(row, error)
+        if agent not in self.directory.views:
+            # It may have started work, of which a recovery must not miss any.
+            self.directory.unreachable.add(agent)
+
     def _remove(self, agent: AgentId) -> None:
         self.row_renewals.pop(agent, None)
         self.services.pop(agent, None)
@@ -276,6 +294,7 @@
     Attributes:
         first: Whether no row of this identity existed before; ``None`` until known.
         replaced: Another process has registered under this identity.
+        skipped_rows: Rows that this agent could not decode.
     """
 
     def __init__(self, row: AgentRow, platform: Platform, timers: Timers):
@@ -287,6 +306,7 @@
         self.first: bool | None = None
         self.replaced = False
         self.written_at = 0.0
+        self.skipped_rows = SkippedRows()
 
     def set_services(self, services: list[str]) -> None:
         """Set the services that the agent's upstreams serve; written by ``watch``."""
@@ -320,7 +340,14 @@
         return Write(agent_key(self.row.agent), content, self.version)
 
     def _handle_conflict(self, row: Row) -> None:
-        found = msgspec.json.decode(row.value, type=AgentRow) if row.value else None
+        try:
+            found = decode_agent_row(row.key, row.value) if row.value else None
+        except ValueError as error:
+            self.skipped_rows.log(row, error)
+            self.version = row.version
+            # An earlier process may have started work that this one does not know of.
+            self.first = bool(self.first)
+            return
         ours = found is not None and found.boot == self.row.boot
         if self.registered and not ours and found is not None:
             logger.error(
--- a/bergamotcourse/coordination/range_recovery.py
+++ b/bergamotcourse/coordination/range_recovery.py
@@ -70,7 +70,8 @@
         unjournaled_since: All claims made before this time are in a journal.
         agents: Addresses of all agents that may have started work of the ranges;
             ``None`` until they were read from the platform.
-        departed: Agents that have left and may have started work of the ranges.
+        departed: Agents that have left or cannot be reached, and may have started work
+            of the ranges.
         reported_agents: Agents that reported all their starts of the ranges.
         journal_read: Whether all journals have been read.
         last_record_at: When the last record was recovered.
@@ -187,8 +188,7 @@
         if not await self.list_agents():
             return
         recovery.agents = {view.id: view.address for view in self.directory}
-        departed = self.directory.departed_since(recovery.unjournaled_since)
-        recovery.departed = set(departed)
+        recovery.departed = self.directory.unavailable_since(recovery.unjournaled_since)
 
     async def _read_journals(self, recovery: RecoveryProgress) -> bool:
         for entry, seen in recovery.taken_over.dead_leases.items():
--- a/bergamotcourse/state/lease_rows.py
+++ b/bergamotcourse/state/lease_rows.py
@@ -1,8 +1,12 @@
 """Rows of the store that record leases, range owners, agents and journaled claims."""
 
+import re
+
 import msgspec
 
 from bergamotcourse.protocol.outcome import Outcome
+from bergamotcourse.state.decoding import decode_document
+from bergamotcourse.state.ranges import Amount, Count, Integer, Name
 
 LEASE_PREFIX = "lease/"
 RANGE_PREFIX = "range/"
@@ -12,6 +16,9 @@
 HASHED_RANGES = 64
 """Number of ranges that keys are hashed to; higher ones are entries' home ranges."""
 
+RANGE_ID_PATTERN = re.compile(r"[0-9]{1,18}")
+PORT_PATTERN = re.compile(r"[0-9]{1,5}")
+
 
 class LeaseRow(msgspec.Struct, frozen=True):
     """An entry's lease, which is live as long as its row keeps changing.
@@ -31,18 +38,18 @@
             share of a limit may not suffice.
     """
 
-    entry: str
-    address: str
-    zone: str
-    successor: str
-    renewals: int
-    clock_ms: int = 0
-    fenced_by: str = ""
+    entry: Name
+    address: Name
+    zone: Name
+    successor: Name
+    renewals: Count
+    clock_ms: Integer = 0
+    fenced_by: Name = ""
     released: bool = False
-    config: int = 0
-    journaled_ms: int = 0
-    unix_ms: int = 0
-    demand: dict[str, int] = {}
+    config: Count = 0
+    journaled_ms: Integer = 0
+    unix_ms: Integer = 0
+    demand: dict[Name, Amount] = {}
 
 
 class RangeRow(msgspec.Struct, frozen=True):
@@ -55,10 +62,10 @@
         strict: Promises may still extend the former owner's lease.
     """
 
-    owner: str
-    epoch: int
+    owner: Name
+    epoch: Count
     doubtful: bool = False
-    former: str = ""
+    former: Name = ""
     strict: bool = False
 
 
@@ -72,14 +79,14 @@
         services: Services of its upstreams, as known at the time of writing.
     """
 
-    agent: str
-    address: str
-    zone: str
-    rack: str
-    worker: str
-    boot: int
+    agent: Name
+    address: Name
+    zone: Name
+    rack: Name
+    worker: Name
+    boot: Integer
     left: bool = False
-    services: list[str] = []
+    services: list[Name] = []
 
 
 class JournalRecord(msgspec.Struct, frozen=True, array_like=True):
@@ -91,13 +98,13 @@
     """
 
     submission: bytes
-    range: int
+    range: Integer
     digest: bytes
-    entry: str
-    address: str
-    attempt: int
+    entry: Name
+    address: Name
+    attempt: Count
     outcome: Outcome | None
-    claimed_ms: int = 0
+    claimed_ms: Integer = 0
 
 
 class JournalRow(msgspec.Struct, frozen=True):
@@ -117,8 +124,15 @@
 
 
 def range_of_key(key: str) -> int:
-    """Return the range id in the key of a range row."""
-    return int(key.removeprefix(RANGE_PREFIX))
+    """Return the range id in the key of a range row.
+
+    Raises:
+        ValueError: The key has no range id.
+    """
+    text = key.removeprefix(RANGE_PREFIX)
+    if not RANGE_ID_PATTERN.fullmatch(text):
+        raise ValueError("the key names no range")
+    return int(text)
 
 
 def agent_key(agent: str) -> str:
@@ -134,3 +148,60 @@
 def journal_key(entry: str, number: int) -> str:
     """Return the key of one journal row."""
     return f"{journal_prefix(entry)}{number:012d}"
+
+
+_lease_decoder = msgspec.json.Decoder(LeaseRow)
+_range_decoder = msgspec.json.Decoder(RangeRow)
+_agent_decoder = msgspec.json.Decoder(AgentRow)
+_journal_decoder = msgspec.msgpack.Decoder(JournalRow)
+
+
+def decode_lease_row(key: str, value: bytes) -> LeaseRow:
+    """Return the lease in a row.
+
+    Raises:
+        ValueError: It is malformed, or is the lease of another entry than the key says.
+    """
+    row = decode_document(_lease_decoder, value)
+    if lease_key(row.entry) != key:
+        raise ValueError("the lease of another entry")
+    _check_port(row.address)
+    return row
+
+
+def decode_range_row(value: bytes) -> RangeRow:
+    """Return the owner of a range in a row.
+
+    Raises:
+        ValueError: It is malformed.
+    """
+    return decode_document(_range_decoder, value)
+
+
+def decode_agent_row(key: str, value: bytes) -> AgentRow:
+    """Return the agent in a row.
+
+    Raises:
+        ValueError: It is malformed, or is another agent than the key says.
+    """
+    row = decode_document(_agent_decoder, value)
+    if agent_key(row.agent) != key:
+        raise ValueError("the row of another agent")
+    _check_port(row.address)
+    return row
+
+
+def decode_journal_row(value: bytes) -> JournalRow:
+    """Return the claims in a row of a journal.
+
+    Raises:
+        ValueError: It is malformed.
+    """
+    return decode_document(_journal_decoder, value)
+
+
+def _check_port(address: str) -> None:
+    """Raise ``ValueError`` if a link address has a port that is out of range."""
+    _, has_port, port = address.partition("://")[2].rpartition(":")
+    if has_port and not (PORT_PATTERN.fullmatch(port) and 0 < int(port) < 65536):
+        raise ValueError("the address has a port out of range")
