Skip a lease or range row that cannot be decoded

An entry that read one odd row among the leases or ranges ended, and again at each start; a key such as range/x sufficed.

Skipping is not enough here:

- An entry whose lease row was overwritten would never be taken over, as its version is not known, and the successor last known may not be the one that it named last.
Its version is taken, its successor is unknown from then on: nobody promises it anything, and it is taken over as an orphan, strictly.
- The epoch last known of a range may be older than the one overwritten, so that a takeover would use an epoch twice.
The range has no known owner until its row can be decoded, and is not claimed: the transaction would fail and with it the claims of other ranges.
The entry that owns it keeps it, as a takeover always fences the lease as well.
It does not keep entries from being ready.

--- a/bergamotcourse/coordination/lease_view.py
+++ b/bergamotcourse/coordination/lease_view.py
@@ -6,6 +6,7 @@
 import msgspec
 from expression import Result
 
+from bergamotcourse.coordination.skipped_rows import SkippedRows
 from bergamotcourse.coordination.timers import Timers
 from bergamotcourse.ids import LinkAddress
 from bergamotcourse.protocol.platform import Platform, Row
@@ -14,12 +15,17 @@
     RANGE_PREFIX,
     LeaseRow,
     RangeRow,
+    decode_lease_row,
+    decode_range_row,
     range_of_key,
 )
 
 MAX_CLOCK_DRIFT_RATIO = 0.1
 """Bound on the relative difference in rate between the clocks of two processes."""
 
+UNKNOWN_ENTRY = "?"
+"""Successor of an entry whose lease row cannot be decoded; no entry has this name."""
+
 
 @dataclass
 class ObservedLease:
@@ -71,6 +77,9 @@
     Attributes:
         leases: Lease rows by entry.
         ranges: Range rows by range.
+        undecodable_ranges: Ranges whose rows cannot be decoded, so that their owners
+            and epochs are not known.
+        skipped_rows: Rows that could not be decoded.
         last_refresh: When the copy was last updated, in seconds.
         current_as_of: The copy shows the table as of this time or later, in seconds.
     """
@@ -81,6 +90,8 @@
         self.lease_seconds = lease_seconds
         self.leases: dict[str, ObservedLease] = {}
         self.ranges: dict[int, ObservedRange] = {}
+        self.undecodable_ranges: set[int] = set()
+        self.skipped_rows = SkippedRows()
         self.lease_version = 0
         self.range_version = 0
         self.last_refresh: float | None = None
@@ -185,9 +196,16 @@
             self.leases.pop(entry, None)
             return
         known = self.leases.get(entry)
-        if known is None or known.version < row.version:
-            content = msgspec.json.decode(row.value, type=LeaseRow)
-            self.leases[entry] = self._observe(known, content, row.version, now)
+        if known is not None and known.version >= row.version:
+            return
+        try:
+            content = decode_lease_row(row.key, row.value)
+        except ValueError as error:
+            self.skipped_rows.log(row, error)
+            if known is not None:
+                self.leases[entry] = self._observe_undecodable(known, row.version, now)
+            return
+        self.leases[entry] = self._observe(known, content, row.version, now)
 
     def _observe(
         self, known: ObservedLease | None, content: LeaseRow, version: int, now: float
@@ -200,12 +218,37 @@
         after = known.written_after
         return ObservedLease(content, version, now, self.current_as_of, after, now)
 
+    def _observe_undecodable(
+        self, known: ObservedLease, version: int, now: float
+    ) -> ObservedLease:
+        # The entry may have named another successor before, which may have promised
+        # not to take over. With an unknown one, the lease ends as that of an orphan.
+        if known.row.successor != UNKNOWN_ENTRY:
+            row = msgspec.structs.replace(known.row, successor=UNKNOWN_ENTRY)
+            known = replace(known, row=row, unchanged_since=now)
+        return replace(known, version=version)
+
     def _apply_range_row(self, row: Row) -> None:
-        range_id = range_of_key(row.key)
+        try:
+            range_id = range_of_key(row.key)
+        except ValueError as error:
+            self.skipped_rows.log(row, error)
+            return
+        known = self.ranges.get(range_id)
         if row.value is None:
             self.ranges.pop(range_id, None)
+            self.undecodable_ranges.discard(range_id)
+        elif known is None or known.version < row.version:
+            self._decode_range_row(range_id, row)
+
+    def _decode_range_row(self, range_id: int, row: Row) -> None:
+        try:
+            content = decode_range_row(row.value)
+        except ValueError as error:
+            self.skipped_rows.log(row, error)
+            # The last known epoch may be older than the one that was overwritten.
+            self.ranges.pop(range_id, None)
+            self.undecodable_ranges.add(range_id)
             return
-        known = self.ranges.get(range_id)
-        if known is None or known.version < row.version:
-            content = msgspec.json.decode(row.value, type=RangeRow)
-            self.ranges[range_id] = ObservedRange(content, row.version)
+        self.ranges[range_id] = ObservedRange(content, row.version)
+        self.undecodable_ranges.discard(range_id)
--- a/bergamotcourse/coordination/ownership.py
+++ b/bergamotcourse/coordination/ownership.py
@@ -113,7 +113,7 @@
         """Return whether this entry owns its home range and all ranges have owners."""
         if self.home not in self.owned:
             return False
-        return all(self.view.owner(r) is not None for r in range(HASHED_RANGES))
+        return not any(self._is_unowned(r) for r in range(HASHED_RANGES))
 
     def successor(self) -> str:
         """Return the next live entry of the ring, of another zone if there is one.
@@ -159,7 +159,7 @@
         if self.joined_at is None:
             self.joined_at = now
         wanted = self._ranges_to_claim(now)
-        if self.view.owner(self.home) is None:
+        if self._is_unowned(self.home):
             wanted.append(self.home)
         if wanted:
             await self._claim_unowned(wanted)
@@ -178,12 +178,19 @@
         waited = now - self.joined_at
         if waited < self.lease.seconds / 2:
             return []
-        unowned = [r for r in range(HASHED_RANGES) if self.view.owner(r) is None]
+        unowned = [r for r in range(HASHED_RANGES) if self._is_unowned(r)]
         if waited > 2 * self.lease.seconds:
             return [RangeId(r) for r in unowned]
         living = [row.entry for row in self.view.living_rows()]
         return [RangeId(r) for r in unowned if best_owner(r, living) == self.entry_id]
 
+    def _is_unowned(self, range_id: int) -> bool:
+        """Return whether a range has no row."""
+        # To claim a range whose row cannot be decoded would fail, and with it the
+        # claims of others in the same transaction.
+        undecodable = range_id in self.view.undecodable_ranges
+        return self.view.owner(range_id) is None and not undecodable
+
     @property
     def entry_id(self) -> str:
         """Return this entry's id."""
--- a/bergamotcourse/coordination/takeover_cleanup.py
+++ b/bergamotcourse/coordination/takeover_cleanup.py
@@ -66,6 +66,9 @@
             return False
         if self.view.transitively_fenced_by(entry):
             return False
+        if self.view.undecodable_ranges:
+            # One of them may name the entry.
+            return False
         rows = self.view.ranges.values()
         if any(entry in (one.row.owner, one.row.former) for one in rows):
             return False
--- a/bergamotcourse/tests/coordination/test_odd_rows.py
+++ b/bergamotcourse/tests/coordination/test_odd_rows.py
@@ -7,10 +7,12 @@
 import trio
 
 from bergamotcourse.coordination.agents import AgentDirectory
+from bergamotcourse.coordination.lease_view import LeaseView
 from bergamotcourse.coordination.membership import AgentDiscovery, AgentRegistration
 from bergamotcourse.coordination.neighbours import ProcessLocation
+from bergamotcourse.coordination.skipped_rows import SkippedRows
 from bergamotcourse.coordination.timers import Timers
-from bergamotcourse.protocol.platform import Write
+from bergamotcourse.protocol.platform import Row, Write
 from bergamotcourse.standins.platform_store import MemoryPlatform
 from bergamotcourse.state.lease_rows import (
     AgentRow,
@@ -18,9 +20,12 @@
     LeaseRow,
     RangeRow,
     agent_key,
+    lease_key,
+    range_key,
 )
 from bergamotcourse.tests.configs import run
 from bergamotcourse.tests.coordination.test_agent_discovery import RecordingMailer
+from bergamotcourse.tests.coordination.test_takeover import run_fleet
 from bergamotcourse.tests.platform.odd_values import (
     DEEP_JSON,
     DEEP_MSGPACK,
@@ -163,3 +168,155 @@
             assert registration.first is registered
 
         run(main)
+
+
+class TestLeaseView:
+    @pytest.mark.parametrize("odd", LEASE_VARIANTS)
+    def test_lease_row_hides_no_other(self, odd):
+        """Guards against an entry that ends as it reads the leases."""
+
+        async def main():
+            platform = MemoryPlatform()
+            for entry in ("a", "z"):
+                row = msgspec.structs.replace(LEASE, entry=entry)
+                await put(platform, lease_key(entry), row)
+            for value in LEASE_VARIANTS[odd]:
+                await put(platform, lease_key("odd"), value)
+                view = LeaseView(platform, Timers(), 5.0)
+                assert await view.refresh()
+                assert {"a", "z"} <= set(view.leases)
+                for seen in view.leases.values():
+                    assert_encodable(seen.row)
+
+        run(main)
+
+    @pytest.mark.parametrize("odd", RANGE_VARIANTS)
+    def test_range_row_hides_no_other(self, odd):
+        """Guards against an entry that ends as it reads the ranges."""
+
+        async def main():
+            platform = MemoryPlatform()
+            await put(platform, range_key(1), RANGE)
+            await put(platform, range_key(3), RANGE)
+            for value in RANGE_VARIANTS[odd]:
+                await put(platform, range_key(2), value)
+                view = LeaseView(platform, Timers(), 5.0)
+                assert await view.refresh()
+                assert {1, 3} <= set(view.ranges)
+                for seen in view.ranges.values():
+                    assert_encodable(seen.row)
+
+        run(main)
+
+    @pytest.mark.parametrize("key", ["x", "", "-1", "9" * 5000, "\u00b2", "1_0"])
+    def test_key_that_names_no_range_hides_no_other(self, key):
+        async def main():
+            platform = MemoryPlatform()
+            await put(platform, f"range/{key}", RANGE)
+            await put(platform, range_key(3), RANGE)
+            view = LeaseView(platform, Timers(), 5.0)
+            assert await view.refresh()
+            assert set(view.ranges) == {3}
+
+        run(main)
+
+    def test_epoch_of_unreadable_range_is_forgotten(self):
+        """Guards against a takeover that uses an epoch a second time."""
+
+        async def main():
+            platform = MemoryPlatform()
+            await put(platform, range_key(3), RANGE)
+            view = LeaseView(platform, Timers(), 5.0)
+            await view.refresh()
+            await put(platform, range_key(3), DEEP_JSON)
+            await view.refresh()
+            assert view.owner(3) is None
+            assert view.undecodable_ranges == {3}
+            await put(platform, range_key(3), RANGE)
+            await view.refresh()
+            assert view.owner(3).row == RANGE
+            assert view.undecodable_ranges == set()
+
+        run(main)
+
+    def test_unreadable_range_does_not_prevent_claims_of_others(self):
+        """Guards against a fleet that never becomes ready."""
+
+        async def test(fleet, one, other):
+            await put(fleet.platform, range_key(3), DEEP_JSON)
+            await trio.sleep(2)
+            name = next(iter(fleet.entries))
+            fleet.entries[name].kill()
+            fleet.start_entry(name)
+            with trio.fail_after(60):
+                await fleet.wait_ready(name)
+            entry = fleet.entries[name].entry
+            assert entry.ownership.home in entry.ownership.owned
+
+        run_fleet(test)
+
+    def test_row_is_logged_once_for_each_version_and_not_whole(self, monkeypatch):
+        lines = []
+        monkeypatch.setattr(
+            "bergamotcourse.coordination.skipped_rows.log_message",
+            lambda kind, **fields: lines.append(fields),
+        )
+        skipped = SkippedRows()
+        for version in (1, 1, 2):
+            row = Row("k" * 100_000, version, b"")
+            skipped.log(row, ValueError("x" * 100_000))
+        assert [line["version"] for line in lines] == [1, 2]
+        assert all(len(str(line)) < 1000 for line in lines)
+
+
+class TestLeaseOfAnother:
+    def test_ranges_of_a_dead_entry_are_taken_over(self):
+        async def test(fleet, one, other):
+            next(p for p in fleet.entries.values() if p.entry is other).kill()
+            await put(fleet.platform, lease_key(other.id), DEEP_JSON)
+            await trio.sleep(20)
+            assert {seen.row.owner for seen in one.view.ranges.values()} == {one.id}
+
+        run_fleet(test)
+
+    def test_journal_is_kept_while_a_range_is_unreadable(self):
+        """Guards against a lost journal of the entry that the range's row named."""
+
+        async def test(fleet, one, other):
+            next(p for p in fleet.entries.values() if p.entry is other).kill()
+            await put(fleet.platform, range_key(3), DEEP_JSON)
+            await trio.sleep(20)
+            key = lease_key(other.id)
+            assert fleet.platform.table.get(key).value is not None
+            await put(fleet.platform, range_key(3), RangeRow(one.id, 7))
+            await trio.sleep(20)
+            assert fleet.platform.table.get(key).value is None
+
+        run_fleet(test)
+
+    def test_former_successor_makes_no_promise(self):
+        """Guards against a promise of an entry that is not the successor any more."""
+
+        async def test(fleet, one, other):
+            assert one.takeover.promise(other.id) > 0
+            version = one.view.lease_version
+            await put(fleet.platform, lease_key(other.id), DEEP_JSON)
+            await one.view.refresh()
+            assert one.view.lease_version > version
+            assert one.takeover.promise(other.id) == 0
+
+        run_fleet(test)
+
+    def test_repeated_odd_writes_do_not_keep_an_entry_alive(self):
+        async def main():
+            platform = MemoryPlatform()
+            await put(platform, lease_key("odd"), LEASE)
+            view = LeaseView(platform, Timers(), 1.0)
+            await view.refresh()
+            for _ in range(8):
+                await trio.sleep(0.4)
+                await put(platform, lease_key("odd"), DEEP_JSON)
+                await view.refresh()
+            assert not view.is_alive("odd")
+
+        run(main)
