Give up a lease whose own row cannot be decoded

An entry whose lease row another program had overwritten ended as it renewed the lease, or as it released it on a planned stop.

Cause: the row of the conflict was decoded without handling any error. The entry cannot tell whether the overwritten row named an entry that took over, so the lease counts as lost. The entry goes on under a new identity and takes over the former one, as after a restart at the same address. On a planned stop the row is left as it is, as a fencing mark would be.

--- a/bergamotcourse/coordination/lease.py
+++ b/bergamotcourse/coordination/lease.py
@@ -15,6 +15,7 @@
 from expression import Result
 
 from bergamotcourse.coordination.lease_view import MAX_CLOCK_DRIFT_RATIO
+from bergamotcourse.coordination.skipped_rows import SkippedRows
 from bergamotcourse.coordination.timers import Timers
 from bergamotcourse.ids import EntryId, LinkAddress, ZoneName
 from bergamotcourse.protocol.mailer import Mailer
@@ -27,7 +28,7 @@
     Row,
     Write,
 )
-from bergamotcourse.state.lease_rows import LeaseRow, lease_key
+from bergamotcourse.state.lease_rows import LeaseRow, decode_lease_row, lease_key
 
 logger = logging.getLogger(__name__)
 
@@ -48,7 +49,7 @@
     Attributes:
         JOINING: The row has not been written yet.
         HELD: The row has been written; ``Lease.valid`` returns whether it is in force.
-        LOST: Another entry has taken over.
+        LOST: Another entry has taken over, or may have.
     """
 
     JOINING = "joining"
@@ -73,6 +74,7 @@
         journaled_ms: Returns the time up to which all claims are journaled.
         wall_ms: Returns the wall-clock time in milliseconds.
         demand: Returns the demand to publish in the row.
+        skipped_rows: Versions of the row that could not be decoded.
     """
 
     def __init__(
@@ -104,6 +106,7 @@
         self.journaled_ms: Callable[[], int] = lambda: 0
         self.wall_ms: Callable[[], int] = lambda: 0
         self.demand: Callable[[], dict[str, int]] = dict
+        self.skipped_rows = SkippedRows()
 
     @property
     def holder_lease_seconds(self) -> float:
@@ -198,11 +201,17 @@
 
     def _handle_conflict(self, started_at: float, row: Row) -> None:
         """Distinguish an own write whose answer was lost from another entry's write."""
-        if not _is_unfenced(row):
+        try:
+            found = _decode_row(row)
+        except ValueError as error:
+            # The overwritten row may have named an entry that took over.
+            self.state = LeaseState.LOST
+            self.skipped_rows.log(row, error)
+            return
+        if found is None or found.fenced_by:
             self.state = LeaseState.LOST
             logger.warning("lease of %s was taken over", self.entry)
             return
-        found = msgspec.json.decode(row.value, type=LeaseRow)
         # The time of the earlier write is unknown, so it does not extend the validity.
         self.state = LeaseState.HELD
         self.version = row.version
@@ -240,6 +249,17 @@
 
 def _is_unfenced(row: Row) -> bool:
     """Return whether a lease row was last written by its own entry."""
-    if row.value is None:
+    try:
+        found = _decode_row(row)
+    except ValueError:
         return False
-    return not msgspec.json.decode(row.value, type=LeaseRow).fenced_by
+    return found is not None and not found.fenced_by
+
+
+def _decode_row(row: Row) -> LeaseRow | None:
+    """Return the lease in a row, or ``None`` if there is no row.
+
+    Raises:
+        ValueError: It cannot be decoded.
+    """
+    return None if row.value is None else decode_lease_row(row.key, row.value)
--- a/bergamotcourse/tests/coordination/test_odd_rows.py
+++ b/bergamotcourse/tests/coordination/test_odd_rows.py
@@ -7,6 +7,7 @@
 import trio
 
 from bergamotcourse.coordination.agents import AgentDirectory
+from bergamotcourse.coordination.lease import LeaseState
 from bergamotcourse.coordination.lease_view import LeaseView
 from bergamotcourse.coordination.membership import AgentDiscovery, AgentRegistration
 from bergamotcourse.coordination.neighbours import ProcessLocation
@@ -269,6 +270,36 @@
         assert all(len(str(line)) < 1000 for line in lines)
 
 
+class TestOwnLease:
+    def test_unreadable_row_ends_the_lease_and_not_the_process(self):
+        """Guards against an entry that ends as it renews, and at each start."""
+
+        async def test(fleet, one, other):
+            lease, name = other.lease, other.id
+            await put(fleet.platform, lease_key(name), DEEP_JSON)
+            await trio.sleep(1)
+            assert lease.state is LeaseState.LOST
+            assert not lease.valid(other.timers.now())
+            assert other.id != name
+            # The entry takes over its own former lease.
+            assert fleet.platform.table.get(lease_key(name)).value != DEEP_JSON
+            await trio.sleep(10)
+            owners = {seen.row.owner for seen in one.view.ranges.values()}
+            assert owners <= {one.id, other.id}
+
+        run_fleet(test)
+
+    def test_release_keeps_an_unreadable_row(self):
+        async def test(fleet, one, other):
+            other.stopping = True
+            await put(fleet.platform, lease_key(other.id), DEEP_JSON)
+            await other.lease.release()
+            row = fleet.platform.table.get(lease_key(other.id))
+            assert row.value == DEEP_JSON
+
+        run_fleet(test)
+
+
 class TestLeaseOfAnother:
     def test_ranges_of_a_dead_entry_are_taken_over(self):
         async def test(fleet, one, other):
