Count an entry with an undecodable lease row as lagging

A command that waits until a version is in force everywhere failed with a traceback if one lease row could not be decoded.

Skipping the row would report a version as in force that the entry may not have, so the entry counts as lagging. The other rows are used.

--- a/bergamotcourse/tests/coordination/test_odd_rows.py
+++ b/bergamotcourse/tests/coordination/test_odd_rows.py
@@ -7,6 +7,7 @@
 import trio
 
 from bergamotcourse.coordination.agents import AgentDirectory
+from bergamotcourse.coordination.in_force import read_in_force, read_lease_rows
 from bergamotcourse.coordination.lease import LeaseState
 from bergamotcourse.coordination.lease_view import LeaseView
 from bergamotcourse.coordination.membership import AgentDiscovery, AgentRegistration
@@ -351,3 +352,29 @@
             assert not view.is_alive("odd")
 
         run(main)
+
+
+class TestInForce:
+    @pytest.mark.parametrize("odd", LEASE_VARIANTS)
+    def test_row_hides_no_other(self, odd):
+        async def main():
+            platform = MemoryPlatform()
+            row = msgspec.structs.replace(LEASE, entry="a", config=3)
+            await put(platform, lease_key("a"), row)
+            for value in LEASE_VARIANTS[odd]:
+                await put(platform, lease_key("odd"), value)
+                rows = (await read_lease_rows(platform)).ok
+                assert "a" in [row.entry for row in rows]
+
+        run(main)
+
+    def test_entry_with_unreadable_row_counts_as_lagging(self):
+        """Guards against a version that is reported as in force too early."""
+
+        async def main():
+            platform = MemoryPlatform()
+            await put(platform, lease_key("odd"), DEEP_JSON)
+            report = (await read_in_force(platform, 3)).ok
+            assert report.lagging == ["odd"]
+
+        run(main)
