Keep a range closed while its epoch cannot be decoded

An agent that read one odd row among the ranges ended, and again at each start.

Cause: the row was decoded without handling any error. Skipping it would admit a start under an epoch that the agent's former process was ordered to refuse, and to keep all ranges closed would let one row hide all others. The agent refuses starts under this range only, whatever epochs it is told of by messages, which may be late, and reads the rows again every two seconds.

--- a/bergamotcourse/daemons/agent.py
+++ b/bergamotcourse/daemons/agent.py
@@ -71,8 +71,8 @@
             registration.set_services(agent.upstreams.services())
             await registration.watch()
             agent.first = bool(registration.first)
-            if registration.registered and not agent.start_log.epochs_loaded:
-                await read_epochs(platform, agent.start_log)
+            if registration.registered and agent.start_log.lacks_epochs:
+                await read_epochs(platform, agent.start_log, registration.skipped_rows)
             if registration.replaced and not agent.leaving:
                 eliot.log_message("agent:replaced", agent=agent.location.id)
                 agent.begin_leaving()
--- a/bergamotcourse/state/start_log.py
+++ b/bergamotcourse/state/start_log.py
@@ -90,6 +90,8 @@
         oldest_token_ms: Tokens issued before this time are refused. Once a start was
             refused because the log was full, no copy of it may be admitted later.
         epochs: The newest epoch seen, by range.
+        unknown_ranges: Ranges whose epochs are not known although those of others are;
+            starts under them are refused.
         submissions: What was started, by submission id, least recently changed first.
     """
 
@@ -108,6 +110,7 @@
         self.epochs_loaded = epochs_loaded
         self.oldest_token_ms = 0
         self.epochs: dict[int, int] = {}
+        self.unknown_ranges: set[int] = set()
         self.submissions: OrderedDict[bytes, StartedSubmission] = OrderedDict()
 
     def issue_token(self, now_ms: int) -> Token:
@@ -131,6 +134,8 @@
             claimant: Link address of the entry that sent it.
             now_ms: Current time in milliseconds.
         """
+        if start.range in self.unknown_ranges:
+            return Admission.EPOCHS_UNKNOWN
         if not self.epochs_loaded and start.range >= 0:
             return Admission.EPOCHS_UNKNOWN
         if start.epoch < self.epochs.get(start.range, 0):
@@ -174,6 +179,11 @@
         self.submissions.move_to_end(start.submission)
         return Admission.ADMITTED
 
+    @property
+    def lacks_epochs(self) -> bool:
+        """Whether the epoch of any range is not known."""
+        return not self.epochs_loaded or bool(self.unknown_ranges)
+
     def withdraw(self, submission: bytes, index: int) -> None:
         """Record that an admitted task provably did not run."""
         started = self.submissions.get(submission)
--- a/bergamotcourse/tests/coordination/test_odd_rows.py
+++ b/bergamotcourse/tests/coordination/test_odd_rows.py
@@ -7,6 +7,7 @@
 import trio
 
 from bergamotcourse.coordination.agents import AgentDirectory
+from bergamotcourse.coordination.epoch_reader import read_epochs
 from bergamotcourse.coordination.in_force import read_in_force, read_lease_rows
 from bergamotcourse.coordination.lease import LeaseState
 from bergamotcourse.coordination.lease_view import LeaseView
@@ -25,6 +26,7 @@
     lease_key,
     range_key,
 )
+from bergamotcourse.state.start_log import Admission, StartLog
 from bergamotcourse.tests.configs import run
 from bergamotcourse.tests.coordination.test_agent_discovery import RecordingMailer
 from bergamotcourse.tests.coordination.test_takeover import run_fleet
@@ -34,6 +36,7 @@
     json_variants,
     msgpack_variants,
 )
+from bergamotcourse.tests.state.test_start_log import Order
 
 AGENT = AgentRow("odd", "tcp://10.0.0.1:7000", "a", "r", "w", 1, services=["voting"])
 LEASE = LeaseRow("odd", "tcp://10.0.0.1:7000", "a", "one", 3, 4, demand={"getxo": 2})
@@ -378,3 +381,77 @@
             assert report.lagging == ["odd"]
 
         run(main)
+
+
+def make_start_log():
+    return StartLog(boot=9, token_ms=5000, retention_ms=60_000)
+
+
+def admit(log, range_id, epoch):
+    submission = f"{range_id}-{epoch}".encode()
+    start = Order(submission, range=range_id, epoch=epoch, token=log.issue_token(0))
+    return log.admit(start, "tcp://entry", 0)
+
+
+class TestEpochs:
+    @pytest.mark.parametrize("odd", RANGE_VARIANTS)
+    def test_row_hides_no_other(self, odd):
+        """Guards against an agent that ends as it starts."""
+
+        async def main():
+            platform = MemoryPlatform()
+            await put(platform, range_key(3), RANGE)
+            for value in RANGE_VARIANTS[odd]:
+                await put(platform, range_key(2), value)
+                log = make_start_log()
+                await read_epochs(platform, log, SkippedRows())
+                assert admit(log, 3, RANGE.epoch - 1) is Admission.OLD_EPOCH
+                assert admit(log, 3, RANGE.epoch) is Admission.ADMITTED
+
+        run(main)
+
+    def test_key_that_names_no_range_hides_no_other(self):
+        async def main():
+            platform = MemoryPlatform()
+            await put(platform, "range/odd", RANGE)
+            await put(platform, range_key(3), RANGE)
+            log = make_start_log()
+            await read_epochs(platform, log, SkippedRows())
+            assert log.epochs == {3: RANGE.epoch}
+            assert not log.lacks_epochs
+
+        run(main)
+
+    def test_range_with_unreadable_epoch_stays_closed(self):
+        """Guards against a second start under an epoch that was refused before."""
+
+        async def main():
+            platform = MemoryPlatform()
+            await put(platform, range_key(2), DEEP_JSON)
+            log = make_start_log()
+            await read_epochs(platform, log, SkippedRows())
+            # A late order of an earlier owner does not tell the newest epoch.
+            log.fence(2, 1)
+            assert admit(log, 2, 1) is Admission.EPOCHS_UNKNOWN
+            assert log.lacks_epochs
+            await put(platform, range_key(2), RANGE)
+            await read_epochs(platform, log, SkippedRows())
+            assert not log.lacks_epochs
+            assert admit(log, 2, 1) is Admission.OLD_EPOCH
+            assert admit(log, 2, RANGE.epoch) is Admission.ADMITTED
+
+        run(main)
+
+    def test_agent_reads_the_epochs_again(self):
+        async def test(fleet, one, other):
+            await put(fleet.platform, range_key(3), DEEP_JSON)
+            fleet.agents["agent-1"].kill()
+            log = fleet.start_agent("agent-1").agent.start_log
+            await trio.sleep(3)
+            assert log.unknown_ranges == {3}
+            await put(fleet.platform, range_key(3), RangeRow(one.id, 4))
+            await trio.sleep(5)
+            assert not log.lacks_epochs
+            assert log.epochs[3] == 4
+
+        run_fleet(test)
--- a/bergamotcourse/virtual/processes.py
+++ b/bergamotcourse/virtual/processes.py
@@ -179,8 +179,8 @@
         await self.registration.watch()
         self.agent.first = bool(self.registration.first)
         log = self.agent.start_log
-        if self.registration.registered and not log.epochs_loaded:
-            await read_epochs(self.platform, log)
+        if self.registration.registered and log.lacks_epochs:
+            await read_epochs(self.platform, log, self.registration.skipped_rows)
 
 
 @dataclass(frozen=True)
