--- a/bergamotcourse/coordination/journal.py
+++ b/bergamotcourse/coordination/journal.py
@@ -7,18 +7,28 @@
 
 import logging
 from collections import deque
+from dataclasses import dataclass
 from itertools import islice, takewhile
 
 import msgspec
 import trio
 from expression import Result
 
+from bergamotcourse.coordination.skipped_rows import SkippedRows
 from bergamotcourse.coordination.timers import Timers
 from bergamotcourse.ids import EntryId
-from bergamotcourse.protocol.platform import ABSENT, Committed, Platform, Write
+from bergamotcourse.protocol.platform import (
+    ABSENT,
+    Changes,
+    Committed,
+    Platform,
+    PlatformError,
+    Write,
+)
 from bergamotcourse.state.lease_rows import (
     JournalRecord,
     JournalRow,
+    decode_journal_row,
     journal_key,
     journal_prefix,
 )
@@ -31,6 +41,19 @@
 MAX_DELETIONS_PER_TRANSACTION = 50
 
 
+@dataclass(frozen=True)
+class ReadJournal:
+    """What was read of an owner's journal.
+
+    Attributes:
+        records: The records, oldest first.
+        complete: Whether all rows could be decoded.
+    """
+
+    records: list[JournalRecord]
+    complete: bool
+
+
 class Journal:
     """The journal of one owner.
 
@@ -42,6 +65,7 @@
         platform_available: Whether the last write succeeded.
         write_ahead_seconds: Longest time for which a grant waits for its write.
         written_rows: Number and write time, in seconds, of each row, oldest first.
+        skipped_rows: Rows of other owners that could not be decoded.
     """
 
     def __init__(
@@ -61,6 +85,7 @@
         self.being_written: set[bytes] = set()
         self.next_row_number = 0
         self.written_rows: deque[tuple[int, float]] = deque()
+        self.skipped_rows = SkippedRows()
         self.lock = trio.Lock()
         self.platform_available = True
         self.journaled_through_ms = timers.now_ms()
@@ -111,10 +136,23 @@
             due -= MAX_RECORDS_PER_ROW
         self.journaled_through_ms = started_ms
 
-    async def read(self, entry: str) -> Result[list[JournalRecord], object]:
-        """Return all records journaled by an owner, oldest first."""
+    async def read(self, entry: str) -> Result[ReadJournal, PlatformError]:
+        """Return the records journaled by an owner."""
         changes = await self.platform.read_since(journal_prefix(entry), 0)
-        return changes.map(_records)
+        return changes.map(self._decode)
+
+    def _decode(self, changes: Changes) -> ReadJournal:
+        records: list[JournalRecord] = []
+        complete = True
+        for row in changes.rows:
+            if row.value is None:
+                continue
+            try:
+                records += decode_journal_row(row.value).records
+            except ValueError as error:
+                self.skipped_rows.log(row, error)
+                complete = False
+        return ReadJournal(records, complete)
 
     def _is_unwritten(self, submission: bytes) -> bool:
         return submission in self.pending or submission in self.being_written
@@ -182,12 +220,3 @@
         outcome=record.outcome,
         claimed_ms=record.claimed_ms,
     )
-
-
-def _records(changes) -> list[JournalRecord]:
-    rows = [
-        msgspec.msgpack.decode(row.value, type=JournalRow)
-        for row in changes.rows
-        if row.value is not None
-    ]
-    return [record for row in rows for record in row.records]
--- a/bergamotcourse/coordination/range_recovery.py
+++ b/bergamotcourse/coordination/range_recovery.py
@@ -195,10 +195,21 @@
             records = await self.journal.read(entry)
             if records.is_error():
                 return False
-            for record in records.ok:
+            if not records.ok.complete:
+                self._distrust_journals(recovery)
+            for record in records.ok.records:
                 self._restore(recovery, seen, record)
         return True
 
+    def _distrust_journals(self, recovery: RecoveryProgress) -> None:
+        """Rely on the agents' start logs only, because a journal has gaps."""
+        oldest = recovery.started_at - self.keep_seconds
+        if recovery.unjournaled_since > oldest:
+            recovery.unjournaled_since = oldest
+            recovery.departed |= self.directory.unavailable_since(oldest)
+            # Their start logs may not reach back far enough.
+            recovery.reported_agents.clear()
+
     def _restore(
         self, recovery: RecoveryProgress, seen: ObservedLease, record: JournalRecord
     ) -> None:
--- a/bergamotcourse/tests/coordination/test_journal.py
+++ b/bergamotcourse/tests/coordination/test_journal.py
@@ -29,7 +29,7 @@
 
 async def journaled(journal):
     records = await journal.read(ENTRY)
-    return {record.submission for record in records.ok}
+    return {record.submission for record in records.ok.records}
 
 
 class TestJournal:
--- a/bergamotcourse/tests/coordination/test_odd_rows.py
+++ b/bergamotcourse/tests/coordination/test_odd_rows.py
@@ -9,23 +9,29 @@
 from bergamotcourse.coordination.agents import AgentDirectory
 from bergamotcourse.coordination.epoch_reader import read_epochs
 from bergamotcourse.coordination.in_force import read_in_force, read_lease_rows
+from bergamotcourse.coordination.journal import Journal
 from bergamotcourse.coordination.lease import LeaseState
 from bergamotcourse.coordination.lease_view import LeaseView
 from bergamotcourse.coordination.membership import AgentDiscovery, AgentRegistration
 from bergamotcourse.coordination.neighbours import ProcessLocation
+from bergamotcourse.coordination.ownership import RangeState
 from bergamotcourse.coordination.skipped_rows import SkippedRows
 from bergamotcourse.coordination.timers import Timers
+from bergamotcourse.ids import EntryId
 from bergamotcourse.protocol.platform import Row, Write
 from bergamotcourse.standins.platform_store import MemoryPlatform
 from bergamotcourse.state.lease_rows import (
     AgentRow,
     JournalRecord,
+    JournalRow,
     LeaseRow,
     RangeRow,
     agent_key,
+    journal_key,
     lease_key,
     range_key,
 )
+from bergamotcourse.state.ledger import Ledger
 from bergamotcourse.state.start_log import Admission, StartLog
 from bergamotcourse.tests.configs import run
 from bergamotcourse.tests.coordination.test_agent_discovery import RecordingMailer
@@ -455,3 +461,45 @@
             assert log.epochs[3] == 4
 
         run_fleet(test)
+
+
+class TestJournalRow:
+    def test_row_hides_no_other(self):
+        """Guards against an entry that ends as it takes over ranges."""
+
+        async def main():
+            platform = MemoryPlatform()
+            journal = Journal(EntryId("one"), Ledger(60_000), platform, Timers())
+            good = msgspec.msgpack.encode(JournalRow([RECORD]))
+            await put(platform, journal_key("odd", 0), good)
+            for value in JOURNAL_VARIANTS.values():
+                await put(platform, journal_key("odd", 1), value)
+                read = (await journal.read("odd")).ok
+                assert read.records[0] == RECORD
+                for record in read.records:
+                    assert_encodable(record)
+            await put(platform, journal_key("odd", 1), DEEP_MSGPACK)
+            assert not (await journal.read("odd")).ok.complete
+
+        run(main)
+
+    def test_recovery_relies_on_start_logs_if_a_journal_has_gaps(self):
+        """Guards against a second start of a claim whose record was overwritten."""
+
+        async def test(fleet, one, other):
+            name = other.id
+            agent = fleet.agents["agent-1"]
+            agent.kill()
+            fleet.start_agent("agent-1")
+            await trio.sleep(20)
+            next(p for p in fleet.entries.values() if p.entry is other).kill()
+            key = journal_key(name, 999)
+            await put(fleet.platform, key, DEEP_MSGPACK)
+            await trio.sleep(20)
+            owned = [o for o in one.ownership.owned.values() if o.former is not None]
+            assert owned
+            # Its new process does not know what the former one started.
+            assert all(o.state is RangeState.READY for o in owned)
+            assert all(o.unreported_agents == {"agent-1"} for o in owned)
+
+        run_fleet(test)
