Refuse a deeply nested record, head or manifest of the configuration

An entry that read a row or an object of the configuration with one field nested 200,000 deep ended, and again at each start; so did one that another entry sent such content. Records that cannot be decoded were skipped without a trace.

Cause: RecursionError is not an error of msgspec, the only ones that were handled. decode_document turns it into a ValueError. Each skipped record is logged once. The logged error of a poll has a bounded length, as it may contain a text of the row.

Tests failed before: the record with an unknown deep field and the content of another entry with RecursionError; three variants for the lack of the log.

--- a/bergamotcourse/coordination/config_watch.py
+++ b/bergamotcourse/coordination/config_watch.py
@@ -19,6 +19,7 @@
     read_manifest,
     read_record,
 )
+from bergamotcourse.coordination.skipped_rows import SkippedRows
 from bergamotcourse.coordination.timers import Timers
 from bergamotcourse.errors import Step, StepError
 from bergamotcourse.ids import ConfigVersion
@@ -45,6 +46,9 @@
 """Time for which a process that has not read the platform waits for a newer version
 after it first received one from another process."""
 
+MAX_ERROR_CHARACTERS = 500
+"""An error may contain a text of the row that caused it."""
+
 MAX_RECORDS_KEPT = 64
 """Records kept for other processes that have an older version."""
 
@@ -78,6 +82,7 @@
         last_error: Why the last poll failed, or ``None``.
         table_version: The version of the platform's table up to which it was read.
         records: The newest records, by version.
+        skipped_rows: Rows of records that could not be decoded.
     """
 
     def __init__(
@@ -97,6 +102,7 @@
         self.last_error: StepError | None = None
         self.table_version = 0
         self.records: OrderedDict[ConfigVersion, Record] = OrderedDict()
+        self.skipped_rows = SkippedRows()
         self.subscribers: list[Subscriber] = []
 
     @property
@@ -121,7 +127,8 @@
         result = await self.refresh()
         self.last_error = result.error if result.is_error() else None
         if self.last_error:
-            log_message("config:poll_failed", error=str(self.last_error))
+            error = str(self.last_error)[:MAX_ERROR_CHARACTERS]
+            log_message("config:poll_failed", error=error)
 
     async def refresh(self) -> Result[ConfigVersion, StepError]:
         """Read new versions from the platform; return the version in force."""
@@ -214,12 +221,16 @@
         return head.map(lambda one: (one, changes.rows, changes.version))
 
     def _apply_record_rows(self, rows: list[Row]) -> None:
-        decoded = [
-            decode_record(row.value, row.key)
-            for row in rows
-            if row.value and row.key.startswith(RECORD_PREFIX)
-        ]
-        self._apply_following_records([one.ok for one in decoded if one.is_ok()])
+        records = []
+        for row in rows:
+            if not row.value or not row.key.startswith(RECORD_PREFIX):
+                continue
+            decoded = decode_record(row.value, row.key)
+            if decoded.is_error():
+                self.skipped_rows.log(row, decoded.error)
+            else:
+                records.append(decoded.ok)
+        self._apply_following_records(records)
 
     def _apply_following_records(self, records: list[Record]) -> None:
         """Apply the records that succeed the version in force, in order."""
--- a/bergamotcourse/coordination/skipped_rows.py
+++ b/bergamotcourse/coordination/skipped_rows.py
@@ -2,6 +2,7 @@
 
 from eliot import log_message
 
+from bergamotcourse.errors import StepError
 from bergamotcourse.protocol.platform import Row
 
 MAX_LOGGED_KEY_CHARACTERS = 80
@@ -23,7 +24,7 @@
     def __init__(self):
         self.logged: set[tuple[str, int]] = set()
 
-    def log(self, row: Row, error: ValueError) -> None:
+    def log(self, row: Row, error: ValueError | StepError) -> None:
         """Log a row that cannot be decoded, unless this version of it was logged."""
         known = (row.key, row.version)
         if known in self.logged:
--- a/bergamotcourse/state/config_record.py
+++ b/bergamotcourse/state/config_record.py
@@ -13,7 +13,8 @@
 
 from bergamotcourse.errors import Step, StepError
 from bergamotcourse.ids import ConfigVersion
-from bergamotcourse.state.manifest import Manifest, digest
+from bergamotcourse.state.decoding import decode_document
+from bergamotcourse.state.manifest import Manifest, decode_manifest, digest
 from bergamotcourse.state.manifest_diff import Changes, apply_changes
 
 NO_VERSION = ConfigVersion(0)
@@ -85,6 +86,10 @@
 )
 
 
+_record_decoder = msgspec.json.Decoder(Record)
+_head_decoder = msgspec.json.Decoder(Head)
+
+
 def with_record_hash(record: Record) -> Record:
     """Return the record with its ``hash`` field set."""
     return replace(record, hash=record_hash(record))
@@ -126,8 +131,8 @@
 def decode_record(content: bytes, key: str) -> Result[Record, StepError]:
     """Return the record in a row; malformed content or a wrong hash is an error."""
     try:
-        record = msgspec.json.decode(content, type=Record)
-    except (msgspec.MsgspecError, UnicodeDecodeError) as error:
+        record = decode_document(_record_decoder, content)
+    except ValueError as error:
         return Error(StepError(Step.DECODE, key, f"malformed record: {error}"))
     if record.hash != record_hash(record):
         return Error(StepError(Step.DECODE, key, "the record was altered"))
@@ -144,8 +149,8 @@
     if content is None:
         return Ok(NO_HEAD)
     try:
-        return Ok(msgspec.json.decode(content, type=Head))
-    except (msgspec.MsgspecError, UnicodeDecodeError) as error:
+        return Ok(decode_document(_head_decoder, content))
+    except ValueError as error:
         return Error(StepError(Step.DECODE, key, f"malformed head: {error}"))
 
 
@@ -154,8 +159,8 @@
 ) -> Result[Manifest, StepError]:
     """Return the manifest in an object; an unexpected digest is an error."""
     try:
-        manifest = msgspec.json.decode(content, type=Manifest)
-    except (msgspec.MsgspecError, UnicodeDecodeError) as error:
+        manifest = decode_manifest(content)
+    except ValueError as error:
         return Error(StepError(Step.DECODE, name, f"malformed manifest: {error}"))
     if digest(manifest) != expected_digest:
         return Error(
--- a/bergamotcourse/state/manifest.py
+++ b/bergamotcourse/state/manifest.py
@@ -7,6 +7,7 @@
 import msgspec
 
 from bergamotcourse.ids import ServiceName, TeamId, ZoneName
+from bergamotcourse.state.decoding import decode_document
 from bergamotcourse.state.schema import (
     MIB,
     Format,
@@ -234,13 +235,16 @@
     return msgspec.json.encode(same, order="deterministic")
 
 
+_manifest_decoder = msgspec.json.Decoder(Manifest)
+
+
 def decode_manifest(content: bytes) -> Manifest:
     """Return the manifest of canonical bytes.
 
     Raises:
-        msgspec.MsgspecError: The bytes are not a manifest.
+        ValueError: The bytes are not a manifest.
     """
-    return msgspec.json.decode(content, type=Manifest)
+    return decode_document(_manifest_decoder, content)
 
 
 def digest(manifest: Manifest) -> str:
--- a/bergamotcourse/tests/coordination/test_config_watch.py
+++ b/bergamotcourse/tests/coordination/test_config_watch.py
@@ -1,16 +1,22 @@
 import random
 
+import msgspec
 import pytest
 import trio
 from expression import Ok
 
-from bergamotcourse.coordination.config_rows import HEAD_KEY
-from bergamotcourse.coordination.config_watch import PEER_SETTLE_SECONDS, ConfigWatch
+from bergamotcourse.coordination.config_rows import HEAD_KEY, record_key
+from bergamotcourse.coordination.config_watch import (
+    PEER_SETTLE_SECONDS,
+    ConfigWatch,
+    Snapshot,
+)
 from bergamotcourse.coordination.timers import Timers
-from bergamotcourse.protocol.platform import Changes
+from bergamotcourse.protocol.platform import Changes, Write
 from bergamotcourse.standins.platform_store import CallKind, MemoryPlatform
 from bergamotcourse.state import config_record
 from bergamotcourse.tests.configs import accept, accept_releases, make_manifest, run
+from bergamotcourse.tests.platform.odd_values import DEEP_JSON
 
 
 def make_watch(platform, client="process"):
@@ -132,8 +138,54 @@
 
         run(main)
 
+    @pytest.mark.parametrize("odd", ["deep", "unknown deep", "not JSON", "version"])
+    def test_odd_record_hides_no_other(self, odd):
+        """Guards against an entry that ends, or stays behind, after an odd row."""
+
+        async def main():
+            watch = await make_watch_at_version(1)
+            platform = watch.platform.platform
+            await accept(platform, make_manifest("r2"), 1)
+            stored = (await platform.get([record_key(2)])).ok[0].value
+            for number, key in enumerate(("config/delta/x", record_key(9))):
+                value = odd_variants(stored)[odd]
+                await platform.transact([Write(key, value, None)])
+                await watch.poll()
+                assert watch.version == 2
+                assert watch.last_error is None
+                assert len(watch.skipped_rows.logged) == number + 1
+
+        run(main)
+
+
+def odd_variants(stored):
+    """Return variants of a stored record or head, by name."""
+    fields = msgspec.json.decode(stored)
+    return {
+        "deep": DEEP_JSON,
+        "unknown deep": msgspec.json.encode({**fields, "x": msgspec.Raw(DEEP_JSON)}),
+        "not JSON": b"\xff",
+        "version": msgspec.json.encode({**fields, "version": -(2**63)}),
+    }
+
 
 class TestApplyFromPeer:
+    def test_odd_content_is_refused(self):
+        """Guards against an entry that ends with what another one sends it."""
+
+        async def main():
+            watch = await make_watch_at_version(2)
+            snapshot = watch.snapshot()
+            empty = make_watch(MemoryPlatform())
+            for odd in odd_variants(snapshot.record).values():
+                assert not empty.apply_records(2, [odd])
+                assert not empty.apply_snapshot(Snapshot(odd, snapshot.content))
+            for odd in (DEEP_JSON, b'{"x":' + DEEP_JSON + b"}"):
+                assert not empty.apply_snapshot(Snapshot(snapshot.record, odd))
+            assert empty.apply_snapshot(snapshot)
+
+        run(main)
+
     def test_records_of_another_process_are_applied_during_outage(self):
         async def main():
             ahead = await make_watch_at_version(5)
