Follow records while the head row cannot be decoded

A configuration that was accepted just before another program overwrote the head row was not put in force until the head could be decoded again, although its record was there.

Cause: records were applied only after the head had been decoded. They do not need it: each carries the hash of the one before. The poll still fails, so that the fault shows and the rows are read again.

Tests failed before: three, the version in force stayed 1.

--- a/bergamotcourse/coordination/config_watch.py
+++ b/bergamotcourse/coordination/config_watch.py
@@ -218,6 +218,9 @@
         if not heads:
             return Ok((None, changes.rows, changes.version))
         head = decode_head(heads[-1].value, HEAD_KEY)
+        if head.is_error():
+            # The records after the version in force do not depend on the head.
+            self._apply_record_rows(changes.rows)
         return head.map(lambda one: (one, changes.rows, changes.version))
 
     def _apply_record_rows(self, rows: list[Row]) -> None:
--- a/bergamotcourse/tests/coordination/test_config_watch.py
+++ b/bergamotcourse/tests/coordination/test_config_watch.py
@@ -157,6 +157,22 @@
 
         run(main)
 
+    @pytest.mark.parametrize("odd", ["deep", "unknown deep", "not JSON"])
+    def test_odd_head_does_not_hide_a_record(self, odd):
+        async def main():
+            watch = await make_watch_at_version(1)
+            platform = watch.platform.platform
+            await accept(platform, make_manifest("r2"), 1)
+            stored = (await platform.get([HEAD_KEY])).ok[0].value
+            value = odd_variants(stored)[odd]
+            await platform.transact([Write(HEAD_KEY, value, None)])
+            await watch.poll()
+            assert watch.version == 2
+            assert watch.last_error is not None
+            assert watch.ready
+
+        run(main)
+
 
 def odd_variants(stored):
     """Return variants of a stored record or head, by name."""
