Treat an answer of the platform that is nested too deep as undecodable

A process that got such an answer ended.

Cause: the decoder's RecursionError, and errors of texts, are not errors of msgspec.DecodeError, the only ones that were handled. The effect of the call is reported as unknown, as for other answers that cannot be decoded.

--- a/bergamotcourse/protocol/platform_channel.py
+++ b/bergamotcourse/protocol/platform_channel.py
@@ -1,6 +1,7 @@
 """Single calls to the platform over HTTP, behind a circuit breaker."""
 
 from dataclasses import dataclass
+from functools import cache
 from typing import Protocol, TypeVar
 
 import msgspec
@@ -16,11 +17,17 @@
     STATUS_SERVER_ERROR,
     Failure,
 )
+from bergamotcourse.state.decoding import decode_document
 from bergamotcourse.transport.http import HttpError, HttpRequest, HttpResponse, Sent
 
 T = TypeVar("T")
 
 
+@cache
+def _decoder_of(kind: type) -> msgspec.msgpack.Decoder:
+    return msgspec.msgpack.Decoder(kind)
+
+
 class Requester(Protocol):
     """The interface of the HTTP client that the channel uses."""
 
@@ -91,8 +98,8 @@
     def decode(self, kind: type[T], body: bytes) -> Result[T, CallError]:
         """Return the decoded body; if undecodable, the call's effect is unknown."""
         try:
-            return Ok(msgspec.msgpack.decode(body, type=kind))
-        except msgspec.DecodeError as error:
+            return Ok(decode_document(_decoder_of(kind), body))
+        except ValueError as error:
             return Error(
                 self.error(f"undecodable answer: {error}", None, retryable=False)
             )
@@ -138,6 +145,6 @@
 def _decode_failure(response: HttpResponse, took_effect: bool | None) -> Failure:
     """Return the failure in a body, or one made from the status if undecodable."""
     try:
-        return msgspec.msgpack.decode(response.body, type=Failure)
-    except msgspec.DecodeError:
+        return decode_document(_decoder_of(Failure), response.body)
+    except ValueError:
         return Failure(f"status {response.status}", took_effect)
