Refuse an announcement with a port or text of unusual length

An upstream that announced a port of more than 4300 digits was answered with status 500. Names of any length were accepted, sent to the entries in each state, and repeated whole in problems.

Cause: isdigit() says nothing of the length that int() converts. The port has a pattern now, and names and counts have ranges.

Two of three tests failed before: ValueError of int(), and a response of 300 kB.

--- a/bergamotcourse/daemons/agent_api.py
+++ b/bergamotcourse/daemons/agent_api.py
@@ -1,6 +1,7 @@
 """The local HTTP API of an agent, where upstreams register, renew and leave."""
 
 import ipaddress
+import re
 from http import HTTPStatus
 from urllib.parse import unquote, urlsplit
 
@@ -9,12 +10,15 @@
 from bergamotcourse.coordination.agent import Agent
 from bergamotcourse.coordination.upstreams import Upstream
 from bergamotcourse.ids import ServiceName, UpstreamId, ZoneName
+from bergamotcourse.state.decoding import decode_document
+from bergamotcourse.state.ranges import Count, Name
 from bergamotcourse.transport.http import HttpRequest, HttpResponse
 from bergamotcourse.transport.http_client import HttpClient
 from bergamotcourse.transport.http_problem import plain_problem
 
 UPSTREAMS_PREFIX = "/v1/upstreams/"
 MAX_SLOTS = 10_000
+PORT_PATTERN = re.compile(r"[0-9]{1,5}")
 
 
 class Announcement(msgspec.Struct, forbid_unknown_fields=True):
@@ -26,12 +30,12 @@
         connections: Maximum number of connections.
     """
 
-    service: str
-    address: str
-    slots: int
-    connections: int
-    zone: str = ""
-    release: str = ""
+    service: Name
+    address: Name
+    slots: Count
+    connections: Count
+    zone: Name = ""
+    release: Name = ""
 
 
 class RenewalAdvice(msgspec.Struct):
@@ -40,6 +44,9 @@
     renew_within_seconds: float
 
 
+_decoder = msgspec.json.Decoder(Announcement)
+
+
 class AgentApi:
     """Handles the requests to an agent's local listener."""
 
@@ -73,8 +80,8 @@
 
     def _announce(self, upstream_id: UpstreamId, request: HttpRequest) -> HttpResponse:
         try:
-            announced = msgspec.json.decode(request.body, type=Announcement)
-        except (msgspec.MsgspecError, UnicodeDecodeError) as error:
+            announced = decode_document(_decoder, request.body)
+        except ValueError as error:
             return plain_problem(HTTPStatus.BAD_REQUEST, str(error))
         fault = _announcement_fault(upstream_id, announced)
         if fault:
@@ -113,7 +120,7 @@
         ipaddress.ip_address(host.strip("[]"))
     except ValueError:
         return f"address {announced.address!r} is not IP:PORT"
-    if not (port.isascii() and port.isdigit() and 0 < int(port) < 65536):
+    if not (PORT_PATTERN.fullmatch(port) and 0 < int(port) < 65536):
         return f"address {announced.address!r} has no port from 1 to 65535"
     if not upstream_id or not announced.service:
         return "the upstream or its service has no name"
--- a/bergamotcourse/tests/daemons/test_odd_requests.py
+++ b/bergamotcourse/tests/daemons/test_odd_requests.py
@@ -1,19 +1,81 @@
 """Requests and answers of other programs with one value that nobody expects."""
 
 import msgspec
+import trio
 
+from bergamotcourse.daemons.agent_api import AgentApi
 from bergamotcourse.protocol.circuit_breaker import CircuitBreaker
 from bergamotcourse.protocol.platform_channel import PlatformChannel
 from bergamotcourse.protocol.platform_wire import Failure, SincePage
 from bergamotcourse.tests.platform.odd_values import (
+    DEEP_JSON,
     DEEP_MSGPACK,
+    json_variants,
     msgpack_variants,
 )
-from bergamotcourse.transport.http import HttpResponse
+from bergamotcourse.transport.http import HttpRequest, HttpResponse
+from bergamotcourse.virtual.clock import run_virtual
+from bergamotcourse.virtual.fleet import FleetShape, VirtualFleet
 
+ANNOUNCEMENT = {
+    "service": "voting",
+    "address": "10.0.0.1:8080",
+    "slots": 4,
+    "connections": 4,
+    "zone": "a",
+    "release": "r1",
+}
 PAGE = {"version": 4, "rows": [{"key": "a", "version": 2, "value": b""}], "more": False}
 
 
+def announce(bodies, check):
+    """Send announcements to an agent and check each response."""
+
+    async def main():
+        async with trio.open_nursery() as nursery:
+            fleet = VirtualFleet(nursery, 1, FleetShape(entries=1, agents=1))
+            await fleet.start()
+            agent = fleet.agents["agent-1"].agent
+            for body in bodies:
+                request = HttpRequest("PUT", "/v1/upstreams/odd", [], body)
+                check(await AgentApi(agent).handle(request))
+                msgspec.msgpack.encode(agent.upstreams.services())
+            nursery.cancel_scope.cancel()
+
+    run_virtual(main, 1)
+
+
+class TestAnnouncement:
+    def test_is_accepted_or_refused(self):
+        """Guards against an announcement that is answered with status 500."""
+        bodies = list(json_variants(ANNOUNCEMENT).values())
+        for port in ("0", "65536", "9" * 100, "\u00b2"):
+            odd = {**ANNOUNCEMENT, "address": f"10.0.0.1:{port}"}
+            bodies.append(msgspec.json.encode(odd))
+
+        def check(response):
+            assert response.status in (200, 400)
+
+        announce([*bodies, DEEP_JSON], check)
+
+    def test_long_port_is_refused(self):
+        odd = {**ANNOUNCEMENT, "address": "10.0.0.1:" + "9" * 5000}
+
+        def check(response):
+            assert response.status == 400
+
+        announce([msgspec.json.encode(odd)], check)
+
+    def test_long_text_is_not_accepted_or_repeated_whole(self):
+        bodies = json_variants(ANNOUNCEMENT)
+
+        def check(response):
+            assert len(response.body) < 2000
+
+        long = [body for name, body in bodies.items() if name.endswith("= long text")]
+        announce(long, check)
+
+
 class TestPlatformAnswer:
     def make_channel(self):
         return PlatformChannel(None, "entry-1", "platform", CircuitBreaker(5, 1.0))
