Refuse a number of more than 18 digits in a query of operators

GET requests with such a number were answered with status 500, or asked for a version that no row can have.

Cause: the text was converted with int() after isdigit(), which does not limit the length. The bodies of operators and callers are decoded by decode_document, as elsewhere, without a change of behaviour.

Two of five variants failed before: ValueError of int(), and 19 digits accepted.

--- a/bergamotcourse/daemons/admin_request.py
+++ b/bergamotcourse/daemons/admin_request.py
@@ -1,5 +1,6 @@
 """Requests to the administration API and its problem responses."""
 
+import re
 from dataclasses import dataclass, field
 from http import HTTPStatus
 from typing import Any, TypeVar
@@ -12,6 +13,7 @@
 from bergamotcourse.daemons.responses import PROBLEM_BASE
 from bergamotcourse.errors import Step, StepError
 from bergamotcourse.protocol.platform import PlatformError
+from bergamotcourse.state.decoding import decode_document
 from bergamotcourse.state.issues import Issue
 from bergamotcourse.state.manifest import Operator, Team
 from bergamotcourse.transport.http import HttpResponse
@@ -19,6 +21,7 @@
 
 TRUE_VALUES = ("true", "1", "yes")
 RETRY_SECONDS = 1.0
+NUMBER_PATTERN = re.compile(r"[0-9]{1,18}")
 
 T = TypeVar("T")
 
@@ -71,15 +74,15 @@
         text = self.query.get(name)
         if text is None:
             return Ok(default)
-        if not (text.isascii() and text.isdigit()):
+        if not NUMBER_PATTERN.fullmatch(text):
             return Error(f"{name} is not a whole number")
         return Ok(int(text))
 
     def decode(self, kind: type[T]) -> Result[T, str]:
         """Return the JSON body decoded as a type, or an error message."""
         try:
-            return Ok(msgspec.json.decode(self.body, type=kind))
-        except (msgspec.MsgspecError, UnicodeDecodeError, RecursionError) as error:
+            return Ok(decode_document(msgspec.json.Decoder(kind), self.body))
+        except ValueError as error:
             return Error(str(error))
 
 
--- a/bergamotcourse/protocol/job_body.py
+++ b/bergamotcourse/protocol/job_body.py
@@ -8,6 +8,7 @@
 
 from bergamotcourse.protocol.messages import TaskResult
 from bergamotcourse.protocol.outcome import Outcome
+from bergamotcourse.state.decoding import decode_document
 from bergamotcourse.state.submission import TaskRequest
 
 TOKEN_CHARACTERS = frozenset(
@@ -68,8 +69,8 @@
 def parse_job(content: bytes) -> Result[JobBody, str]:
     """Return the job decoded from a body, or a text that describes the error."""
     try:
-        return Ok(_decoder.decode(content))
-    except (msgspec.MsgspecError, UnicodeDecodeError, RecursionError) as error:
+        return Ok(decode_document(_decoder, content))
+    except ValueError as error:
         return Error(str(error))
 
 
--- a/bergamotcourse/tests/daemons/test_odd_requests.py
+++ b/bergamotcourse/tests/daemons/test_odd_requests.py
@@ -1,12 +1,16 @@
 """Requests and answers of other programs with one value that nobody expects."""
 
 import msgspec
+import pytest
 import trio
 
+from bergamotcourse.daemons.admin_request import AdminRequest
 from bergamotcourse.daemons.agent_api import AgentApi
 from bergamotcourse.protocol.circuit_breaker import CircuitBreaker
+from bergamotcourse.protocol.job_body import parse_job, task_request
 from bergamotcourse.protocol.platform_channel import PlatformChannel
 from bergamotcourse.protocol.platform_wire import Failure, SincePage
+from bergamotcourse.state.manifest import Manifest
 from bergamotcourse.tests.platform.odd_values import (
     DEEP_JSON,
     DEEP_MSGPACK,
@@ -25,6 +29,12 @@
     "zone": "a",
     "release": "r1",
 }
+JOB = {
+    "service": "voting",
+    "tasks": [{"target": "/x", "headers": {"a": "b"}, "body": "text"}],
+    "class": "batch",
+    "timeout_seconds": 3.0,
+}
 PAGE = {"version": 4, "rows": [{"key": "a", "version": 2, "value": b""}], "more": False}
 
 
@@ -76,6 +86,25 @@
         announce(long, check)
 
 
+class TestAdminRequest:
+    @pytest.mark.parametrize("text", ["9" * 5000, "9" * 19, "\u00b2", "-1", ""])
+    def test_number_out_of_range_is_refused(self, text):
+        request = AdminRequest(None, None, None, query={"first": text})
+        assert request.number("first", 1).is_error()
+
+    def test_deep_body_is_refused(self):
+        request = AdminRequest(None, None, None, body=DEEP_JSON)
+        assert request.decode(Manifest).is_error()
+
+
+class TestJob:
+    def test_is_usable_or_refused(self):
+        for body in json_variants(JOB).values():
+            parsed = parse_job(body)
+            for task in parsed.ok.tasks if parsed.is_ok() else []:
+                task_request(task)
+
+
 class TestPlatformAnswer:
     def make_channel(self):
         return PlatformChannel(None, "entry-1", "platform", CircuitBreaker(5, 1.0))
