Log the failure of a message with its kind

An exception while a message was handled still ended a process of the job path, although each message is guarded.

Cause: the guard logs the kind of the message as a field named kind, which is also the name of the log's first parameter: TypeError, raised in the guard itself. The parameter is positional only now.

The test failed before with TypeError.

--- a/bergamotcourse/coordination/event_log.py
+++ b/bergamotcourse/coordination/event_log.py
@@ -21,6 +21,6 @@
     def __init__(self, sink: Sink = _ignore):
         self.sink = sink
 
-    def write(self, kind: str, **fields: Any) -> None:
-        """Write one event."""
+    def write(self, kind: str, /, **fields: Any) -> None:
+        """Write one event; a field may have any name, also ``kind``."""
         self.sink(kind, fields)
--- a/bergamotcourse/tests/daemons/test_supervision.py
+++ b/bergamotcourse/tests/daemons/test_supervision.py
@@ -1,13 +1,17 @@
 """Background tasks that go on after an exception."""
 
 import random
+from types import SimpleNamespace
 
 import pytest
 import trio
 
 from bergamotcourse.coordination.event_log import EventLog
 from bergamotcourse.coordination.timers import Timers
+from bergamotcourse.daemons.job_process import Node
 from bergamotcourse.daemons.supervision import RESTART_PAUSE_SECONDS, run_supervised
+from bergamotcourse.ids import LinkAddress
+from bergamotcourse.protocol.messages import Detach
 from bergamotcourse.virtual.clock import run_virtual
 
 
@@ -75,3 +79,17 @@
 
         with pytest.raises(ExceptionGroup):
             run_virtual(main, 1)
+
+
+class TestJobProcess:
+    def test_exception_of_a_message_is_logged(self):
+        """Guards against a log of a failed message that ends the process."""
+        lines = []
+        node = SimpleNamespace(
+            log=EventLog(lambda kind, fields: lines.append((kind, fields)))
+        )
+        sender = LinkAddress("udp://10.0.0.1:7000")
+        Node._message_failed(node, sender, Detach("entry-1"), ValueError("odd"))
+        [(kind, fields)] = lines
+        assert kind == "message.failed"
+        assert (fields["kind"], fields["peer"]) == ("Detach", sender)
