Let an exception end one message or one call on the session path too

An exception while an entry or agent of the session path handled a message, or while a timer ran, ended the process, and again after each restart for as long as the message or row that caused it stayed.

The guards that the job path has are set here as well, also for the calls that an entry and an agent make at their start, before the first period. A lease that is not renewed because of an exception expires, as without the platform. Exceptions go to eliot's log. In tests on the virtual clock they still end the run.

Tests failed before: an entry and an agent ended with an exception of the reading of agents and of the registration.

--- a/bergamotcourse/coordination/entry.py
+++ b/bergamotcourse/coordination/entry.py
@@ -379,10 +379,11 @@
     async def _start(self) -> None:
         """Run the first of some periodic calls without waiting for their period."""
         async with trio.open_nursery() as nursery:
-            nursery.start_soon(self.config.poll)
-            nursery.start_soon(self.agent_discovery.watch)
-            nursery.start_soon(self._renew_lease)
-        await self._watch_ranges()
+            once = self.timers.call_once
+            nursery.start_soon(once, "configuration poll", self.config.poll)
+            nursery.start_soon(once, "agent watch", self.agent_discovery.watch)
+            nursery.start_soon(once, "lease renewal", self._renew_lease)
+        await self.timers.call_once("range watch", self._watch_ranges)
 
     async def _renew_lease(self) -> None:
         if not self.stopping or self.lease.state is LeaseState.HELD:
--- a/bergamotcourse/coordination/timers.py
+++ b/bergamotcourse/coordination/timers.py
@@ -79,6 +79,13 @@
             self.nursery.start_soon(self._serve, subscription, name=name)
         return subscription
 
+    async def call_once(self, name: str, call: Callable[[], Awaitable[None]]) -> None:
+        """Call a subscriber now, before its first period."""
+        try:
+            await call()
+        except Exception as error:
+            self._fail(Subscription(name, 0.0, call), error)
+
     async def run(self) -> None:
         """Run all subscriptions until cancelled."""
         async with trio.open_nursery() as nursery:
@@ -99,9 +106,12 @@
         try:
             await self.call(subscription)
         except Exception as error:
-            if self.on_failed is None:
-                raise
-            self.on_failed(subscription, error)
+            self._fail(subscription, error)
+
+    def _fail(self, subscription: Subscription, error: Exception) -> None:
+        if self.on_failed is None:
+            raise error
+        self.on_failed(subscription, error)
 
     async def call(self, subscription: Subscription) -> None:
         """Call a subscriber."""
--- a/bergamotcourse/daemons/agent.py
+++ b/bergamotcourse/daemons/agent.py
@@ -11,7 +11,7 @@
 from bergamotcourse.coordination.membership import AgentRegistration
 from bergamotcourse.coordination.timers import Timers
 from bergamotcourse.daemons.agent_api import AgentApi
-from bergamotcourse.daemons.log_file import open_log
+from bergamotcourse.daemons.log_file import eliot_events, open_log
 from bergamotcourse.daemons.metric_samples import agent_sample, record_agent_task_times
 from bergamotcourse.daemons.metrics import MetricsReporter, Timings
 from bergamotcourse.daemons.process import (
@@ -19,6 +19,7 @@
     wait_until,
     watch_signals,
 )
+from bergamotcourse.daemons.supervision import log_failures
 from bergamotcourse.ids import AgentId
 from bergamotcourse.protocol.mailer import Mailer
 from bergamotcourse.protocol.platform_client import PlatformClient
@@ -39,6 +40,7 @@
     rng = random.Random()
     timers = Timers(rng)
     mailer = Mailer(NngLink(settings.link.host, settings.link.port), rng=rng)
+    log_failures(eliot_events(), mailer, timers)
     platform = PlatformClient.connect(
         settings.platform.host, settings.platform.port, settings.name
     )
@@ -96,7 +98,7 @@
         nursery.start_soon(agent.run)
         nursery.start_soon(serve_http, server)
         await server.wait_open()
-        nursery.start_soon(register)
+        nursery.start_soon(timers.call_once, "registration", register)
         eliot.log_message(
             "agent:open",
             agent=agent.location.id,
--- a/bergamotcourse/daemons/entry.py
+++ b/bergamotcourse/daemons/entry.py
@@ -9,7 +9,7 @@
 from bergamotcourse.coordination.timers import Timers
 from bergamotcourse.daemons.admin_api import AdminApi
 from bergamotcourse.daemons.entry_api import EntryApi
-from bergamotcourse.daemons.log_file import open_log
+from bergamotcourse.daemons.log_file import eliot_events, open_log
 from bergamotcourse.daemons.metric_samples import (
     entry_sample,
     record_entry_task_times,
@@ -21,6 +21,7 @@
     serve_http,
     watch_signals,
 )
+from bergamotcourse.daemons.supervision import log_failures
 from bergamotcourse.protocol.mailer import Mailer
 from bergamotcourse.protocol.platform_client import PlatformClient
 from bergamotcourse.state.settings import EntrySettings
@@ -40,6 +41,7 @@
     rng = random.Random()
     timers = Timers(rng)
     mailer = Mailer(NngLink(settings.link.host, settings.link.port), rng=rng)
+    log_failures(eliot_events(), mailer, timers)
     platform = PlatformClient.connect(
         settings.platform.host, settings.platform.port, settings.name
     )
--- a/bergamotcourse/daemons/supervision.py
+++ b/bergamotcourse/daemons/supervision.py
@@ -5,6 +5,10 @@
 import trio
 
 from bergamotcourse.coordination.event_log import EventLog
+from bergamotcourse.coordination.timers import Subscription, Timers
+from bergamotcourse.ids import LinkAddress
+from bergamotcourse.protocol.mailer import Mailer
+from bergamotcourse.protocol.messages import AnyMessage
 
 RESTART_PAUSE_SECONDS = 1.0
 
@@ -37,3 +41,21 @@
         except Exception as error:
             log.write("task.failed", name=name, error=describe_error(error))
             await trio.sleep(RESTART_PAUSE_SECONDS)
+
+
+def log_failures(log: EventLog, mailer: Mailer, timers: Timers) -> None:
+    """Log exceptions of message handlers and of subscribers, which then go on."""
+
+    def message_failed(
+        sender: LinkAddress, message: AnyMessage, error: Exception
+    ) -> None:
+        kind = type(message).__name__
+        why = describe_error(error)
+        log.write("message.failed", peer=sender, kind=kind, error=why)
+
+    def subscriber_failed(subscription: Subscription, error: Exception) -> None:
+        why = describe_error(error)
+        log.write("task.failed", name=subscription.name, error=why)
+
+    mailer.on_failed = message_failed
+    timers.on_failed = subscriber_failed
