--- a/bergamotcourse/daemons/agent_api.py
+++ b/bergamotcourse/daemons/agent_api.py
@@ -1,7 +1,6 @@
 """The local HTTP API of an agent, where upstreams register, renew and leave."""
 
 import ipaddress
-import re
 from http import HTTPStatus
 from urllib.parse import unquote, urlsplit
 
@@ -10,6 +9,7 @@
 from bergamotcourse.coordination.agent import Agent
 from bergamotcourse.coordination.upstreams import Upstream
 from bergamotcourse.ids import ServiceName, UpstreamId, ZoneName
+from bergamotcourse.state.addresses import is_port
 from bergamotcourse.state.decoding import decode_document
 from bergamotcourse.state.ranges import Count, Name
 from bergamotcourse.transport.http import HttpRequest, HttpResponse
@@ -18,7 +18,6 @@
 
 UPSTREAMS_PREFIX = "/v1/upstreams/"
 MAX_SLOTS = 10_000
-PORT_PATTERN = re.compile(r"[0-9]{1,5}")
 
 
 class Announcement(msgspec.Struct, forbid_unknown_fields=True):
@@ -120,7 +119,7 @@
         ipaddress.ip_address(host.strip("[]"))
     except ValueError:
         return f"address {announced.address!r} is not IP:PORT"
-    if not (PORT_PATTERN.fullmatch(port) and 0 < int(port) < 65536):
+    if not is_port(port):
         return f"address {announced.address!r} has no port from 1 to 65535"
     if not upstream_id or not announced.service:
         return "the upstream or its service has no name"
--- a/bergamotcourse/daemons/job_process.py
+++ b/bergamotcourse/daemons/job_process.py
@@ -12,16 +12,15 @@
 
 from bergamotcourse.coordination.event_log import EventLog
 from bergamotcourse.coordination.jobs.policy import JobPolicy
-from bergamotcourse.coordination.timers import Subscription, Timers
+from bergamotcourse.coordination.timers import Timers
 from bergamotcourse.daemons.job_metrics import JobMetrics
 from bergamotcourse.daemons.job_platform import Platform
 from bergamotcourse.daemons.json_log import JsonLog
 from bergamotcourse.daemons.process import ignore_sigterm_after_receiver, serve_http
-from bergamotcourse.daemons.supervision import describe_error, run_supervised
+from bergamotcourse.daemons.supervision import log_failures, run_supervised
 from bergamotcourse.errors import BergamotcourseError, Step, StepError
 from bergamotcourse.ids import LinkAddress
 from bergamotcourse.protocol.mailer import Mailer
-from bergamotcourse.protocol.message import Message
 from bergamotcourse.state.node_settings import Endpoint, NodeSettings
 from bergamotcourse.transport.datagram_link import SCHEME, DatagramLink
 from bergamotcourse.transport.http import Handler
@@ -104,8 +103,7 @@
         self.mailer = Mailer(
             DatagramLink(where.host, where.port, self.rng), rng=self.rng
         )
-        self.mailer.on_failed = self._message_failed
-        self.timers.on_failed = self._timer_failed
+        log_failures(self.log, self.mailer, self.timers)
         self.metrics.bytes_by_peer = lambda: self.mailer.counters.bytes_by_peer
         self.address = link_address(where)
         self.store = platform.store(self.settings, self.log)
@@ -118,17 +116,6 @@
         self.metrics.sink(kind, fields)
         self.json_log.sink(kind, fields)
 
-    def _message_failed(
-        self, sender: LinkAddress, message: Message, error: Exception
-    ) -> None:
-        kind = type(message).__name__
-        why = describe_error(error)
-        self.log.write("message.failed", peer=sender, kind=kind, error=why)
-
-    def _timer_failed(self, subscription: Subscription, error: Exception) -> None:
-        why = describe_error(error)
-        self.log.write("task.failed", name=subscription.name, error=why)
-
     def start_supervised(
         self,
         nursery: trio.Nursery,
--- a/bergamotcourse/platform/documents.py
+++ b/bergamotcourse/platform/documents.py
@@ -17,8 +17,8 @@
     UpstreamId,
     ZoneName,
 )
-from bergamotcourse.platform.settings_file import is_address
 from bergamotcourse.protocol.upstream_orders import LifeKey, UpstreamReport
+from bergamotcourse.state.addresses import is_address
 from bergamotcourse.state.decoding import decode_document
 from bergamotcourse.state.job_spec import (
     JobId,
--- a/bergamotcourse/platform/settings_file.py
+++ b/bergamotcourse/platform/settings_file.py
@@ -1,19 +1,16 @@
 """Reads the platform's settings file, which has lines of ``a.b=value``."""
 
 import math
-import re
-import socket
 
 from bergamotcourse.errors import BergamotcourseError, Step, StepError
 from bergamotcourse.ids import ServiceName, ZoneName
+from bergamotcourse.state.addresses import is_address, is_ip, is_port
 from bergamotcourse.state.node_settings import (
     REMOTE_FACTOR,
     Endpoint,
     NodeSettings,
 )
 
-PORT_PATTERN = re.compile(r"[0-9]{1,5}")
-
 REQUIRED_KEYS = ("node_name", "ip", "zone", "internal_ports", "platform.address")
 
 
@@ -116,26 +113,6 @@
     return []
 
 
-def is_address(text: str) -> bool:
-    """Return whether a text has the form ``IP:PORT`` with an IPv4 address."""
-    host, _, port = text.rpartition(":")
-    return is_port(port) and is_ip(host)
-
-
-def is_port(text: str) -> bool:
-    """Return whether a text is the number of a port."""
-    return bool(PORT_PATTERN.fullmatch(text)) and 0 < int(text) < 65536
-
-
-def is_ip(text: str) -> bool:
-    """Return whether a text is an IPv4 address."""
-    try:
-        socket.inet_pton(socket.AF_INET, text)
-    except (OSError, ValueError):
-        return False
-    return True
-
-
 def is_amount(text: str) -> bool:
     """Return whether a text is a number that is finite and not negative."""
     try:
--- a/bergamotcourse/platform/store.py
+++ b/bergamotcourse/platform/store.py
@@ -13,9 +13,9 @@
 from bergamotcourse.coordination.event_log import EventLog
 from bergamotcourse.errors import Step, StepError
 from bergamotcourse.ids import LinkAddress, ZoneName
-from bergamotcourse.platform.settings_file import is_address
 from bergamotcourse.protocol.job_store import ConfigRead, HistoryGoneError
 from bergamotcourse.protocol.upstream_orders import UpstreamReport
+from bergamotcourse.state.addresses import is_address
 from bergamotcourse.state.decoding import decode_document
 from bergamotcourse.state.evacuations import ZoneChange
 from bergamotcourse.state.node_settings import Endpoint
--- a/bergamotcourse/state/lease_rows.py
+++ b/bergamotcourse/state/lease_rows.py
@@ -5,6 +5,7 @@
 import msgspec
 
 from bergamotcourse.protocol.outcome import Outcome
+from bergamotcourse.state.addresses import is_port
 from bergamotcourse.state.decoding import decode_document
 from bergamotcourse.state.ranges import Amount, Count, Integer, Name
 
@@ -17,7 +18,6 @@
 """Number of ranges that keys are hashed to; higher ones are entries' home ranges."""
 
 RANGE_ID_PATTERN = re.compile(r"[0-9]{1,18}")
-PORT_PATTERN = re.compile(r"[0-9]{1,5}")
 
 
 class LeaseRow(msgspec.Struct, frozen=True):
@@ -203,5 +203,5 @@
 def _check_port(address: str) -> None:
     """Raise ``ValueError`` if a link address has a port that is out of range."""
     _, has_port, port = address.partition("://")[2].rpartition(":")
-    if has_port and not (PORT_PATTERN.fullmatch(port) and 0 < int(port) < 65536):
+    if has_port and not is_port(port):
         raise ValueError("the address has a port out of range")
--- a/bergamotcourse/tests/daemons/test_supervision.py
+++ b/bergamotcourse/tests/daemons/test_supervision.py
@@ -13,7 +13,6 @@
 from bergamotcourse.daemons import agent as agent_daemon
 from bergamotcourse.daemons.agent import run_agent
 from bergamotcourse.daemons.entry import run_entry
-from bergamotcourse.daemons.job_process import Node
 from bergamotcourse.daemons.supervision import (
     RESTART_PAUSE_SECONDS,
     log_failures,
@@ -93,21 +92,19 @@
             run_virtual(main, 1)
 
 
-class TestJobProcess:
+class TestLogFailures:
     def test_exception_of_a_message_is_logged(self):
         """Guards against a log of a failed message that ends the process."""
         lines = []
-        node = SimpleNamespace(
-            log=EventLog(lambda kind, fields: lines.append((kind, fields)))
-        )
+        mailer, timers = SimpleNamespace(), SimpleNamespace()
+        log = EventLog(lambda kind, fields: lines.append((kind, fields)))
+        log_failures(log, mailer, timers)
         sender = LinkAddress("udp://10.0.0.1:7000")
-        Node._message_failed(node, sender, Detach("entry-1"), ValueError("odd"))
+        mailer.on_failed(sender, Detach("entry-1"), ValueError("odd"))
         [(kind, fields)] = lines
         assert kind == "message.failed"
         assert (fields["kind"], fields["peer"]) == ("Detach", sender)
 
-
-class TestLogFailures:
     def test_message_and_subscriber_are_logged(self):
         lines = []
 
