--- a/bergamotcourse/tests/scenarios/test_mutations.py
+++ b/bergamotcourse/tests/scenarios/test_mutations.py
@@ -7,7 +7,7 @@
 
 from bergamotcourse.coordination import answer_recovery
 from bergamotcourse.coordination.claims import ClaimService
-from bergamotcourse.coordination.journal import Journal
+from bergamotcourse.coordination.journal import Journal, ReadJournal
 from bergamotcourse.coordination.key_checks import KeyChecker
 from bergamotcourse.coordination.lease import Lease, LeaseState
 from bergamotcourse.scenarios.parser import parse
@@ -50,7 +50,7 @@
 
 def no_journal_replay(monkeypatch):
     async def read_nothing(_self, _entry):
-        return Ok([])
+        return Ok(ReadJournal([], complete=True))
 
     monkeypatch.setattr(Journal, "read", read_nothing)
 
