Log what requests for states and cancellations are answered

A cancellation that was answered 410 at one entry while the job ran at another left no line in either log, so the two hypotheses of jobs that come again could not be told apart from jobs that nobody had submitted.

--- a/bergamotcourse/coordination/jobs/job_service.py
+++ b/bergamotcourse/coordination/jobs/job_service.py
@@ -115,6 +115,25 @@
             body_bytes=body_bytes,
         )
 
+    def log_lookup(
+        self, method: str, job_id: JobId, status: int, connection: int
+    ) -> None:
+        """Log the response to one request for a job's state or its cancellation.
+
+        Args:
+            method: The method of the request.
+            job_id: The job.
+            status: The status of the response.
+            connection: The number of the connection on which the request came.
+        """
+        self.log.write(
+            "job.looked_up",
+            request=job_id,
+            method=method,
+            status=status,
+            connection=connection,
+        )
+
     def state(self, job_id: JobId, queue: JobQueue) -> JobState | None:
         """Return the state of a queue's job, or ``None`` if it is not known here.
 
--- a/bergamotcourse/platform/callers.py
+++ b/bergamotcourse/platform/callers.py
@@ -49,13 +49,20 @@
         match request.method:
             case "POST":
                 return await self._submit(request, queue, job_id)
-            case "GET":
-                return state_response(self.service.state(job_id, queue))
-            case "DELETE":
-                return cancel_response(self.service.cancel(job_id, queue))
+            case "GET" | "DELETE":
+                response = self._look_up(request.method, queue, job_id)
+                self.service.log_lookup(
+                    request.method, job_id, response.status, request.connection
+                )
+                return response
             case _:
                 return plain_problem(405, "only POST, GET and DELETE are served")
 
+    def _look_up(self, method: str, queue: JobQueue, job_id: JobId) -> HttpResponse:
+        if method == "GET":
+            return state_response(self.service.state(job_id, queue))
+        return cancel_response(self.service.cancel(job_id, queue))
+
     async def _submit(
         self, request: HttpRequest, queue: JobQueue, job_id: JobId
     ) -> HttpResponse:
