Remember ended jobs at all entries

What callers saw: a job that was answered 200 and came again 1.5 s later ran again, at the same entry and at any other; while other jobs took all room it was told 503, "not accepted and never runs", after its 200.

Cause: an entry forgot a job with its last call. Only cancellations were remembered, and only at their own entry.

Fix: an entry remembers for 30 s at least how a job ended, and tells the other entries in one message each 0.4 s; a message repeats the jobs of the last one, as a datagram may be lost. A job is known by a digest of its queue and id, and by one of its body, so that another body under the id never gets its answer. A known job is not refused by an entry short of processor time either. Memory and messages are bounded in number.

--- a/bergamotcourse/coordination/jobs/cancellations.py
+++ b/bergamotcourse/coordination/jobs/cancellations.py
@@ -1,9 +1,6 @@
 """Jobs that their callers have cancelled, for submissions that arrive late."""
 
-from bergamotcourse.state.job_spec import JobId
-
-JobKey = tuple[tuple[str, str], JobId]
-"""The address of a queue, and the id of a job there."""
+from bergamotcourse.state.job_spec import JobKey
 
 RETENTION_SECONDS = 60.0
 """A submission that was delayed on its way arrives seconds after its job's end."""
--- a/bergamotcourse/coordination/jobs/job_dispatcher.py
+++ b/bergamotcourse/coordination/jobs/job_dispatcher.py
@@ -11,11 +11,11 @@
 from bergamotcourse.coordination.jobs.admission_forecast import AdmissionForecast
 from bergamotcourse.coordination.jobs.agent_link import AgentLink
 from bergamotcourse.coordination.jobs.agent_links import AgentLinks, PlacementCandidates
-from bergamotcourse.coordination.jobs.cancellations import Cancellations
 from bergamotcourse.coordination.jobs.job_order import (
     dispatch_order_key,
     immediate_refusal,
 )
+from bergamotcourse.coordination.jobs.job_records import JobRecords
 from bergamotcourse.coordination.jobs.job_run import (
     Call,
     JobAnswer,
@@ -45,7 +45,7 @@
     RunOutcome,
     TaskEnded,
 )
-from bergamotcourse.state.job_spec import JobId, JobQueue, JobSpec, job_id_of_task
+from bergamotcourse.state.job_spec import JobKey, JobQueue, JobSpec, job_id_of_task
 from bergamotcourse.state.node_settings import REMOTE_FACTOR
 
 RESPONSE_MARGIN_SECONDS = 0.06
@@ -77,12 +77,12 @@
     """Admits jobs, places their tasks on agents and determines each job's outcome.
 
     Attributes:
+        records: The jobs that are known here.
         jobs: Admitted jobs that still have callers, by id. The next call for a job
             replaces it if it has an outcome that concerns only the earlier calls.
         waiting: Jobs with tasks that are ready to be placed.
         speeds: Speeds of the agents.
         delayed: Tasks that are placed again after a delay.
-        cancellations: Jobs that callers have cancelled, which are not run again.
         withdrawn: Runs that were withdrawn and may not have ended yet.
         outcomes: Number of jobs by outcome.
         had_waiting_jobs: Jobs were still waiting after the last placement round.
@@ -110,10 +110,10 @@
         self.links = links
         self.timers = timers
         self.log = log
-        self.jobs: dict[JobId, JobRun] = {}
+        self.records = JobRecords(timers)
+        self.jobs = self.records.jobs
         self.waiting: list[JobRun] = []
         self.delayed: list[TaskRun] = []
-        self.cancellations = Cancellations()
         self.withdrawn = WithdrawnRuns()
         self.estimates = WorkEstimates()
         self.speeds = SpeedTable(log, self.policy.weighs_speed)
@@ -161,10 +161,10 @@
         """Run a job until it has an outcome.
 
         A job whose id is already known is not admitted again; the call waits for the
-        outcome of the known job. An outcome that concerns only the earlier calls for it
-        is not given to a further one: that call runs the job anew, unless a caller has
-        cancelled the job. When the last call for a job is cancelled, the job is
-        withdrawn.
+        outcome of the known job. A job that has succeeded or failed, or was cancelled,
+        is not run again. Any other outcome concerns only the earlier calls, and a
+        further one runs the job anew. When the last call for a job is cancelled, the
+        job is withdrawn.
 
         Args:
             spec: The job.
@@ -180,41 +180,36 @@
         job = self.jobs.get(spec.id)
         if job is not None and job.may_be_joined() and job.is_of(spec, queue):
             self._log_joined(job)
-        elif self.is_cancelled(spec.id, queue):
-            self.log.write("job.already_cancelled", request=spec.id)
-            return JobAnswer(JobOutcome.CANCELLED, CANCELLED_WHY)
+        elif (former := self._former_answer(spec, queue)) is not None:
+            return former
         else:
             job = self._admit(spec, queue, seconds)
         call = Call(is_abandoned)
         job.calls.append(call)
         try:
-            return await self._await_outcome(
+            answer = await self._await_outcome(
                 job, call, seconds - RESPONSE_MARGIN_SECONDS
             )
         finally:
             job.calls.remove(call)
             if not job.calls:
                 self._remove_job(job)
+        if answer.outcome in (JobOutcome.REFUSED, JobOutcome.TIMED_OUT):
+            # It may have ended at another entry, which has announced it since.
+            ended = self.records.ended_outcome(spec, queue)
+            return JobAnswer(ended) if ended is not None else answer
+        return answer
 
-    def find(self, job_id: JobId, queue: JobQueue) -> JobRun | None:
-        """Return a job of a queue, or ``None`` if it is not known there."""
-        job = self.jobs.get(job_id)
-        if job is None or job.queue.address != queue.address:
-            return None
-        return job
-
-    def is_cancelled(self, job_id: JobId, queue: JobQueue) -> bool:
-        """Return whether a caller has cancelled a job of a queue lately."""
-        key = (queue.address, job_id)
-        return self.cancellations.contains(key, self.timers.now())
+    def cancel(self, key: JobKey) -> bool:
+        """Cancel a job; return false if it is not known here.
 
-    def cancel(self, job_id: JobId, queue: JobQueue) -> bool:
-        """Cancel a job of a queue; return false if it is not known there."""
-        job = self.find(job_id, queue)
+        A job that has succeeded or failed is not cancelled.
+        """
+        job = self.records.find(key)
         if job is None:
             return False
+        self.records.record_cancellation(key)
         job.finish(JobOutcome.CANCELLED, CANCELLED_WHY)
-        self.cancellations.add((queue.address, job_id), self.timers.now())
         self._withdraw_tasks(job)
         return True
 
@@ -415,6 +410,16 @@
             self.placement_round.request()
         return job
 
+    def _former_answer(self, spec: JobSpec, queue: JobQueue) -> JobAnswer | None:
+        """Return the answer to a job that has ended or was cancelled before."""
+        outcome = self.records.ended_outcome(spec, queue)
+        if outcome is None and self.records.is_cancelled(queue.key(spec.id)):
+            outcome = JobOutcome.CANCELLED
+        if outcome is None:
+            return None
+        self.log.write("job.ended_before", request=spec.id, outcome=outcome.value)
+        return JobAnswer(outcome, "it has ended before")
+
     def _log_joined(self, job: JobRun) -> None:
         self.log.write(
             "job.joined",
@@ -532,9 +537,8 @@
 
     def _remove_job(self, job: JobRun) -> None:
         """Remove a job that has no callers left, and withdraw its placed tasks."""
-        if self.jobs.get(job.spec.id) is job:
-            del self.jobs[job.spec.id]
         job.finish(JobOutcome.CANCELLED, "its caller has gone")
+        self.records.remove(job)
         self.outcomes[job.outcome] += 1
         self.log.write(
             "job.settled",
--- a/bergamotcourse/coordination/jobs/job_run.py
+++ b/bergamotcourse/coordination/jobs/job_run.py
@@ -8,7 +8,13 @@
 
 from bergamotcourse.coordination.jobs.interruptions import Interruptions
 from bergamotcourse.protocol.upstream_orders import RunKey
-from bergamotcourse.state.job_spec import JobQueue, JobSpec, StepSpec, TaskName
+from bergamotcourse.state.job_spec import (
+    JobKey,
+    JobQueue,
+    JobSpec,
+    StepSpec,
+    TaskName,
+)
 
 LATE_FACTOR = 3.0
 """A result that takes longer than this multiple of the job's objective is of no use to
@@ -161,6 +167,11 @@
         self.retry_after = 0.0
         self.calls: list[Call] = []
 
+    @property
+    def key(self) -> JobKey:
+        """Return the key of the job."""
+        return self.queue.key(self.spec.id)
+
     @property
     def may_have_run(self) -> bool:
         """Return whether a task may have started."""
--- a/bergamotcourse/coordination/jobs/peers.py
+++ b/bergamotcourse/coordination/jobs/peers.py
@@ -49,6 +49,11 @@
 """Silence after which a peer that is not from the settings is removed."""
 
 
+PEER_SILENCE_SECONDS = 5.0
+"""Silence after which a peer has no runs left: agents stop those of an entry that does
+not answer. It is twice the time between two greetings of 35 entries."""
+
+
 @dataclass(frozen=True)
 class EntryStatus:
     """What an entry tells its peers of itself.
@@ -172,6 +177,15 @@
                 self.peers[address] = Peer(address, self.timers.now(), from_settings)
             self.peers[address].from_settings |= from_settings
 
+    def heard_lately(self) -> list[LinkAddress]:
+        """Return the peers that may have jobs, as they do not seem to be gone."""
+        now = self.timers.now()
+        return [
+            address
+            for address, peer in self.peers.items()
+            if now - peer.heard_at <= PEER_SILENCE_SECONDS
+        ]
+
     def handle_message(self, sender: LinkAddress, message: Message) -> None:
         """Process a message from another process."""
         match message:
--- a/bergamotcourse/daemons/job_entry.py
+++ b/bergamotcourse/daemons/job_entry.py
@@ -7,6 +7,7 @@
 from bergamotcourse.coordination.jobs.evacuated_zones import EvacuatedZones
 from bergamotcourse.coordination.jobs.job_dispatcher import JobDispatcher
 from bergamotcourse.coordination.jobs.job_service import JobService
+from bergamotcourse.coordination.jobs.peer_jobs import PeerJobs
 from bergamotcourse.coordination.jobs.peers import Peers
 from bergamotcourse.coordination.jobs.processor_lag import ProcessorLag
 from bergamotcourse.coordination.jobs.queues_in_force import QueuesInForce
@@ -22,7 +23,11 @@
 from bergamotcourse.daemons.process import serve_http
 from bergamotcourse.ids import LinkAddress
 from bergamotcourse.protocol.message import Message
-from bergamotcourse.protocol.task_messages import AgentTurn, Farewell
+from bergamotcourse.protocol.task_messages import (
+    AgentTurn,
+    Farewell,
+    JobsEnded,
+)
 from bergamotcourse.state.node_settings import NodeSettings
 
 BALANCER_REACTION_SECONDS = 2.3
@@ -85,6 +90,9 @@
             node.rng,
             sheds_load=node.policy.turns_away_when_short,
         )
+        self.peer_jobs = PeerJobs(
+            self.jobs, node.mailer, self.peers.heard_lately, node.log
+        )
         self.service = JobService(self.queues, self.jobs, processor, node.log)
         self.server = job_http_server(
             node.settings.callers, node.platform.callers(self.service)
@@ -129,6 +137,7 @@
         nursery.start_soon(self.links.run)
         nursery.start_soon(self.jobs.run)
         nursery.start_soon(self.peers.run)
+        nursery.start_soon(self.peer_jobs.run)
         nursery.start_soon(self.rows.announce, node.address)
         node.start_supervised(nursery, "config", feed.run)
         node.start_supervised(nursery, "agents", self._greet_agents)
@@ -157,6 +166,8 @@
                 self.links.handle_agent_turn(sender, message)
             case Farewell(agent=True):
                 self.links.handle_farewell(sender)
+            case JobsEnded():
+                self.peer_jobs.handle_message(message)
             case _:
                 self.peers.handle_message(sender, message)
 
@@ -205,5 +216,6 @@
         self.jobs.abandon_all_jobs("this entry is stopping")
         with trio.move_on_after(ANSWER_RESERVE_SECONDS / 2):
             await self.server.wait_stopped()
+        self.peer_jobs.announce()
         self.peers.send_farewell()
         await self.rows.withdraw(self.node.address)
--- a/bergamotcourse/platform/callers.py
+++ b/bergamotcourse/platform/callers.py
@@ -4,14 +4,10 @@
 from collections.abc import Callable
 from urllib.parse import urlsplit
 
-from bergamotcourse.coordination.jobs.job_run import JobOutcome
-from bergamotcourse.coordination.jobs.job_service import (
-    JobAnswer,
-    JobService,
-    JobState,
-)
+from bergamotcourse.coordination.jobs.job_run import JobAnswer, JobOutcome
+from bergamotcourse.coordination.jobs.job_service import JobService
 from bergamotcourse.platform.documents import decode_job
-from bergamotcourse.state.job_spec import JobId, JobQueue
+from bergamotcourse.state.job_spec import JobId, JobQueue, JobState
 from bergamotcourse.transport.http import HttpRequest, HttpResponse
 from bergamotcourse.transport.http_json import json_answer
 from bergamotcourse.transport.http_problem import plain_problem
@@ -66,7 +62,7 @@
     async def _submit(
         self, request: HttpRequest, queue: JobQueue, job_id: JobId
     ) -> HttpResponse:
-        answer = self.service.refuse_if_overloaded(job_id)
+        answer = self.service.refuse_if_overloaded(job_id, queue)
         if answer is None:
             try:
                 spec = decode_job(job_id, request.body)
--- a/bergamotcourse/protocol/messages.py
+++ b/bergamotcourse/protocol/messages.py
@@ -24,6 +24,7 @@
     EntryTurn,
     Farewell,
     Hello,
+    JobsEnded,
 )
 
 SCHEMA_VERSION = 1
@@ -591,6 +592,7 @@
     | Hello
     | ConfigWanted
     | ConfigCopy
+    | JobsEnded
     | Farewell
 )
 
--- a/bergamotcourse/protocol/task_messages.py
+++ b/bergamotcourse/protocol/task_messages.py
@@ -7,10 +7,13 @@
 
 from enum import Enum
 
+import msgspec
+
 from bergamotcourse.ids import NO_LIFE, LifeChecksum
 from bergamotcourse.protocol.message import Message
 from bergamotcourse.protocol.upstream_orders import RunKey
 from bergamotcourse.state.evacuations import Evacuations
+from bergamotcourse.state.job_spec import JobDigest, SpecDigest
 from bergamotcourse.state.resources import Resources
 
 ITEM_OVERHEAD_BYTES = 100
@@ -257,6 +260,25 @@
     content: bytes
 
 
+class EndedJob(msgspec.Struct, frozen=True, array_like=True, gc=False):
+    """A job whose callers were told an outcome.
+
+    Attributes:
+        spec: Digest of what its callers submitted.
+        succeeded: Whether it succeeded; it failed otherwise.
+    """
+
+    digest: JobDigest
+    spec: SpecDigest
+    succeeded: bool
+
+
+class JobsEnded(Message, frozen=True):
+    """An entry tells the others of jobs that have ended at it."""
+
+    jobs: list[EndedJob]
+
+
 class Farewell(Message, frozen=True):
     """The sender shuts down; none of its runs is left.
 
--- a/bergamotcourse/state/job_spec.py
+++ b/bergamotcourse/state/job_spec.py
@@ -1,8 +1,10 @@
 """Jobs whose tasks need resources, as callers submit them, and the queues of jobs."""
 
-from typing import NewType
+from enum import Enum
+from typing import NamedTuple, NewType
 
 import msgspec
+import xxhash
 
 from bergamotcourse.ids import ConfigVersion, ServiceName
 from bergamotcourse.state.resources import Resources
@@ -14,11 +16,46 @@
 """Identifies a task to the upstreams; unique across all jobs."""
 
 
+JobDigest = NewType("JobDigest", int)
+"""64 bits that stand for the address of a queue and the id of a job there."""
+
+SpecDigest = NewType("SpecDigest", int)
+"""32 bits that stand for what a caller has submitted under an id."""
+
+
+class JobKey(NamedTuple):
+    """Identifies a job in all processes.
+
+    Attributes:
+        host: Host name of the job's queue.
+        path_prefix: Path prefix of the job's queue.
+        id: The id of the job there.
+    """
+
+    host: str
+    path_prefix: str
+    id: JobId
+
+    def digest(self) -> JobDigest:
+        """Return the digest by which ended jobs are remembered."""
+        return JobDigest(xxhash.xxh3_64_intdigest("\0".join(self).encode()))
+
+
 def job_id_of_task(task: TaskName) -> JobId:
     """Return the id of a task's job: the part of the name before the first dot."""
     return JobId(task.partition(".")[0])
 
 
+class JobState(Enum):
+    """The state of a job, as a request for it shows."""
+
+    QUEUED = "queued"
+    RUNNING = "running"
+    SUCCEEDED = "succeeded"
+    FAILED = "failed"
+    CANCELLED = "cancelled"
+
+
 class StepSpec(msgspec.Struct, frozen=True):
     """A group of identical tasks in a job.
 
@@ -56,6 +93,10 @@
     kept: bool = False
     unsupported: tuple[str, ...] = ()
 
+    def digest(self) -> SpecDigest:
+        """Return a digest that is the same in all processes."""
+        return SpecDigest(xxhash.xxh32_intdigest(msgspec.msgpack.encode(self)))
+
 
 class JobQueue(msgspec.Struct, frozen=True):
     """A queue of jobs, as the configuration describes it.
@@ -84,6 +125,10 @@
         """Return the host and the path by which callers address the queue."""
         return self.host, self.path_prefix
 
+    def key(self, job_id: JobId) -> JobKey:
+        """Return the key of a job of this queue."""
+        return JobKey(self.host, self.path_prefix, job_id)
+
     def objective(self, work: float) -> float:
         """Return the response-time objective in seconds.
 
--- /dev/null
+++ b/bergamotcourse/tests/jobs/test_jobs_at_other_entries.py
@@ -0,0 +1,149 @@
+"""Jobs that are submitted again, at any entry."""
+
+import pytest
+import trio
+
+from bergamotcourse.coordination.event_log import EventLog
+from bergamotcourse.coordination.jobs import ended_jobs
+from bergamotcourse.coordination.jobs.ended_jobs import RETENTION_SECONDS, EndedJobs
+from bergamotcourse.coordination.jobs.job_run import JobOutcome
+from bergamotcourse.coordination.jobs.job_service import JobService
+from bergamotcourse.coordination.jobs.peer_jobs import (
+    MAX_ANNOUNCED_JOBS,
+    PeerJobs,
+)
+from bergamotcourse.coordination.jobs.processor_lag import ProcessorLag
+from bergamotcourse.coordination.jobs.queues_in_force import QueuesInForce
+from bergamotcourse.protocol.task_messages import EndedJob, JobsEnded
+from bergamotcourse.tests.jobs.fleets import (
+    run_fleet,
+    runs_of,
+    submit_all_the_time,
+)
+from bergamotcourse.virtual.job_fleet import QUEUE, job
+
+SECONDS_UNTIL_AGAIN = 1.5
+TIMEOUT_SECONDS = 5.0
+ENTRIES = ["entry-1", "entry-2"]
+
+
+def service_of(fleet, name):
+    entry = fleet.entries[name]
+    return JobService(
+        QueuesInForce(lambda _content: None, EventLog()),
+        entry.jobs,
+        ProcessorLag(entry.timers, EventLog()),
+        EventLog(),
+    )
+
+
+async def submit(fleet, name, spec):
+    service = service_of(fleet, name)
+    return await service.submit(spec, QUEUE, TIMEOUT_SECONDS, lambda: False)
+
+
+class TestJobThatComesAgainAfterItsSuccess:
+    @pytest.mark.parametrize("name", ENTRIES)
+    def test_is_told_the_same_and_starts_nothing(self, name):
+        async def main(fleet):
+            spec = job("a", tasks=2)
+            first = await submit(fleet, "entry-1", spec)
+            await trio.sleep(SECONDS_UNTIL_AGAIN)
+            again = await submit(fleet, name, spec)
+            assert first.outcome is again.outcome is JobOutcome.SUCCEEDED
+            assert len(runs_of(fleet, spec.id)) == 2
+
+        run_fleet(main)
+
+    @pytest.mark.parametrize("name", ENTRIES)
+    def test_is_not_refused_while_other_jobs_take_all_room(self, name):
+        """Guards against "not accepted" for a job that was accepted."""
+
+        async def main(fleet):
+            specs = [job(f"a-{number}", tasks=2) for number in range(5)]
+            for spec in specs:
+                await submit(fleet, "entry-1", spec)
+            for entry in ENTRIES:
+                fleet.nursery.start_soon(submit_all_the_time, fleet, entry, 8, 0.02)
+            await trio.sleep(SECONDS_UNTIL_AGAIN)
+            answers = [await submit(fleet, name, spec) for spec in specs]
+            assert {answer.outcome for answer in answers} == {JobOutcome.SUCCEEDED}
+
+        run_fleet(main)
+
+    def test_is_not_refused_by_an_entry_short_of_processor_time(self):
+        async def main(fleet):
+            spec = job("a", tasks=1)
+            await submit(fleet, "entry-1", spec)
+            await trio.sleep(SECONDS_UNTIL_AGAIN)
+            for name in ENTRIES:
+                service = service_of(fleet, name)
+                service.processor.shed_share = 1.0
+                assert service.refuse_if_overloaded(spec.id, QUEUE) is None
+
+        run_fleet(main)
+
+    def test_is_run_if_it_has_another_body(self):
+        """Guards against the answer of another request under the same id."""
+
+        async def main(fleet):
+            await submit(fleet, "entry-1", job("a", tasks=2))
+            await trio.sleep(SECONDS_UNTIL_AGAIN)
+            other = await submit(fleet, "entry-2", job("a", tasks=3))
+            assert other.outcome is JobOutcome.SUCCEEDED
+            assert len(runs_of(fleet, "a")) == 5
+
+        run_fleet(main)
+
+    def test_is_known_at_other_entries_if_an_announcement_is_lost(self):
+        async def main(fleet):
+            spec = job("a", tasks=1)
+            peer_jobs = fleet.entries["entry-1"].peer_jobs
+            await submit(fleet, "entry-1", spec)
+            peers, peer_jobs.peers = peer_jobs.peers, list
+            peer_jobs.announce()
+            peer_jobs.peers = peers
+            await trio.sleep(SECONDS_UNTIL_AGAIN)
+            await submit(fleet, "entry-2", spec)
+            assert len(runs_of(fleet, spec.id)) == 1
+
+        run_fleet(main)
+
+
+class TestEndedJobs:
+    def test_are_remembered_for_the_retention_time(self):
+        ended = EndedJobs(0.0)
+        ended.add(EndedJob(1, 1, True), RETENTION_SECONDS - 1)
+        assert ended.find(1, 2 * RETENTION_SECONDS - 1) is not None
+        assert ended.find(1, 4 * RETENTION_SECONDS) is None
+
+    def test_keep_the_first_end(self):
+        ended = EndedJobs(0.0)
+        ended.add(EndedJob(1, 1, True), 0.0)
+        ended.add(EndedJob(1, 1, False), 0.0)
+        assert ended.find(1, 0.0).succeeded
+
+    def test_are_bounded_in_number(self, monkeypatch):
+        monkeypatch.setattr(ended_jobs, "MAX_JOBS_PER_GENERATION", 10)
+        ended = EndedJobs(0.0)
+        for number in range(100):
+            ended.add(EndedJob(number, 0, True), 0.0)
+        assert len(ended.current) + len(ended.former) <= 20
+        assert ended.find(99, 0.0) is not None
+
+
+class TestPeerJobs:
+    def test_announcements_are_bounded(self):
+        async def main(fleet):
+            entry = fleet.entries["entry-1"]
+            posted = []
+            entry.mailer.post = lambda _peer, message: posted.append(message)
+            peer_jobs = PeerJobs(entry.jobs, entry.mailer, ENTRIES.copy, entry.log)
+            many = 3 * MAX_ANNOUNCED_JOBS
+            peer_jobs.unannounced += [EndedJob(n, 0, True) for n in range(many)]
+            peer_jobs.announce()
+            assert isinstance(posted[0], JobsEnded)
+            assert len(posted[0].jobs) == MAX_ANNOUNCED_JOBS
+            assert len(peer_jobs.unannounced) <= MAX_ANNOUNCED_JOBS
+
+        run_fleet(main)
--- a/bergamotcourse/virtual/job_fleet.py
+++ b/bergamotcourse/virtual/job_fleet.py
@@ -14,11 +14,16 @@
 from bergamotcourse.coordination.jobs.job_dispatcher import JobDispatcher
 from bergamotcourse.coordination.jobs.job_run import JobOutcome
 from bergamotcourse.coordination.jobs.job_service import OVERLOAD_RETRY_SECONDS
+from bergamotcourse.coordination.jobs.peer_jobs import PeerJobs
 from bergamotcourse.coordination.jobs.policy import JobPolicy
 from bergamotcourse.coordination.jobs.processor_lag import ProcessorLag
 from bergamotcourse.ids import LinkAddress, ServiceName, ZoneName
 from bergamotcourse.protocol.mailer import Mailer
-from bergamotcourse.protocol.task_messages import AgentTurn, Farewell
+from bergamotcourse.protocol.task_messages import (
+    AgentTurn,
+    Farewell,
+    JobsEnded,
+)
 from bergamotcourse.standins.order_upstream import (
     Behaviour,
     OrderUpstream,
@@ -303,9 +308,17 @@
             REMOTE_FACTOR,
             random.Random(self.links.boot),
         )
+        self.peer_jobs = PeerJobs(self.jobs, self.mailer, self._peers, self.log)
         self.mailer.handler = self._handle
         self.zones.on_change = self.jobs.handle_evacuations
 
+    def _peers(self) -> list[LinkAddress]:
+        return [
+            entry.address
+            for entry in self.fleet.entries.values()
+            if entry.address != self.address
+        ]
+
     def make_timers(self) -> VirtualTimers:
         """Return the timers of the process."""
         if self.loop is None:
@@ -320,7 +333,7 @@
 
     async def run(self) -> None:
         """Run until killed."""
-        mains = [self.links.run]
+        mains = [self.links.run, self.peer_jobs.run]
         if self.loop is not None:
             # Without an event loop no placement round takes time, and none is delayed.
             mains += [self.loop.run, self.jobs.run]
@@ -345,6 +358,8 @@
                 self.links.handle_agent_turn(sender, message)
             case Farewell(agent=True):
                 self.links.handle_farewell(sender)
+            case JobsEnded():
+                self.peer_jobs.handle_message(message)
 
 
 @dataclass
