Ask the other entries for a job that is cancelled or looked up

What callers saw: DELETE on a new connection, which the balancer gives to any entry, was answered 410, "no such job", while the job ran on at another entry for 6 s and its caller was told success. GET likewise. A submission that came later to another entry ran a job whose cancellation had been acknowledged.

Cause: an entry answered for the whole system from what it knew itself.

The tests of cancellations and states in test_jobs_at_other_entries.py fail without peers to ask.

Fix: an entry asks all entries heard in the last 5 s, three times within 0.75 s. One that has the job cancels it; each remembers the cancellation, so a submission that arrives later starts nothing anywhere. 410 means that all of them have answered; if one has not, the answer is 503 with Retry-After, which acknowledges nothing. For a job that is known here to have ended nobody is asked, so usual jobs pay nothing. Open queries are bounded; beyond, the answer is 503 at once.

--- a/bergamotcourse/coordination/jobs/job_dispatcher.py
+++ b/bergamotcourse/coordination/jobs/job_dispatcher.py
@@ -201,14 +201,14 @@
         return answer
 
     def cancel(self, key: JobKey) -> bool:
-        """Cancel a job; return false if it is not known here.
+        """Cancel a job, also one that has yet to come; return false if it is not known.
 
         A job that has succeeded or failed is not cancelled.
         """
+        self.records.record_cancellation(key)
         job = self.records.find(key)
         if job is None:
             return False
-        self.records.record_cancellation(key)
         job.finish(JobOutcome.CANCELLED, CANCELLED_WHY)
         self._withdraw_tasks(job)
         return True
--- a/bergamotcourse/coordination/jobs/job_service.py
+++ b/bergamotcourse/coordination/jobs/job_service.py
@@ -2,11 +2,15 @@
 
 from collections.abc import Callable
 
+from expression import Ok, Result
+
 from bergamotcourse.coordination.event_log import EventLog
 from bergamotcourse.coordination.jobs.job_dispatcher import JobDispatcher
 from bergamotcourse.coordination.jobs.job_run import JobAnswer, JobOutcome
+from bergamotcourse.coordination.jobs.peer_jobs import PeerJobs
 from bergamotcourse.coordination.jobs.processor_lag import ProcessorLag
 from bergamotcourse.coordination.jobs.queues_in_force import QueuesInForce
+from bergamotcourse.errors import StepError
 from bergamotcourse.state.job_spec import (
     JobId,
     JobQueue,
@@ -23,7 +27,11 @@
 
 
 class JobService:
-    """Submits, inspects and cancels jobs of the configured queues."""
+    """Submits, inspects and cancels jobs of the configured queues.
+
+    Attributes:
+        peer_jobs: The jobs of the other entries; ``None`` if there are no others.
+    """
 
     def __init__(
         self,
@@ -31,11 +39,13 @@
         jobs: JobDispatcher,
         processor: ProcessorLag,
         log: EventLog,
+        peer_jobs: PeerJobs | None = None,
     ):
         self.queues = queues
         self.jobs = jobs
         self.processor = processor
         self.log = log
+        self.peer_jobs = peer_jobs
 
     def is_configured(self) -> bool:
         """Return whether a configuration is in force."""
@@ -130,16 +140,48 @@
             connection=connection,
         )
 
-    def state(self, job_id: JobId, queue: JobQueue) -> JobState | None:
-        """Return the state of a queue's job, or ``None`` if it is not known here.
+    async def state(
+        self, job_id: JobId, queue: JobQueue, seconds: float
+    ) -> Result[JobState | None, StepError]:
+        """Return the state of a queue's job at any entry.
 
         A job that was refused, timed out or abandoned is not known any longer.
-        """
-        return self.jobs.records.state(queue.key(job_id))
 
-    def cancel(self, job_id: JobId, queue: JobQueue) -> bool:
-        """Cancel a job of a queue; return false if it is not known here."""
-        return self.jobs.cancel(queue.key(job_id))
+        Args:
+            job_id: The job.
+            queue: Its queue.
+            seconds: Seconds for which the caller waits for the response.
+
+        Returns:
+            The state, or ``None`` if no entry knows the job; or an error if it is not
+            known here and another entry has not answered.
+        """
+        key = queue.key(job_id)
+        state = self.jobs.records.state(key)
+        if state is not None or self.peer_jobs is None:
+            return Ok(state)
+        return await self.peer_jobs.ask(key, False, seconds)
+
+    async def cancel(
+        self, job_id: JobId, queue: JobQueue, seconds: float
+    ) -> Result[bool, StepError]:
+        """Cancel a job of a queue at all entries.
+
+        The arguments are those of ``state``.
+
+        Returns:
+            Whether the job was known; or an error if it was not known here and another
+            entry has not answered, which may go on with it.
+        """
+        key = queue.key(job_id)
+        is_known = self.jobs.cancel(key)
+        if self.peer_jobs is None or self.jobs.records.has_ended(key):
+            return Ok(is_known)
+        if is_known:
+            self.peer_jobs.tell_cancelled(key)
+            return Ok(True)
+        found = await self.peer_jobs.ask(key, True, seconds)
+        return found.map(lambda state: state is JobState.CANCELLED)
 
     def pending(self, queue: JobQueue) -> int:
         """Return the number of jobs of a queue that have not started."""
--- a/bergamotcourse/coordination/jobs/peer_jobs.py
+++ b/bergamotcourse/coordination/jobs/peer_jobs.py
@@ -1,21 +1,27 @@
 """The jobs of the other entries, for callers that reach any entry.
 
 The balancer gives a new connection to any entry. So an entry announces to the others
-the jobs that have ended at it.
+the jobs that have ended at it, and asks them for a job that it does not know.
 """
 
 from collections.abc import Callable
+from dataclasses import dataclass, field
 
 import trio
+from expression import Error, Ok, Result
 
 from bergamotcourse.coordination.event_log import EventLog
 from bergamotcourse.coordination.jobs.job_dispatcher import JobDispatcher
+from bergamotcourse.errors import Step, StepError
 from bergamotcourse.ids import LinkAddress
 from bergamotcourse.protocol.mailer import Mailer
 from bergamotcourse.protocol.task_messages import (
     EndedJob,
+    JobQuery,
+    JobReply,
     JobsEnded,
 )
+from bergamotcourse.state.job_spec import JobKey, JobState
 
 ANNOUNCEMENT_INTERVAL_SECONDS = 0.4
 """Interval of the announcements. Callers submit a job again seconds after its end."""
@@ -23,6 +29,44 @@
 MAX_ANNOUNCED_JOBS = 1000
 """Most jobs in an announcement, which has about 16 bytes for each."""
 
+ATTEMPT_SECONDS = 0.25
+"""Time after which a peer that has not answered is asked again."""
+
+ATTEMPTS = 3
+"""How often a peer is asked. Datagrams are lost at times."""
+
+MAX_OPEN_QUERIES = 500
+"""Jobs that the peers are asked for at a time, over all callers."""
+
+
+@dataclass(eq=False)
+class OpenQuery:
+    """A query to all peers.
+
+    Attributes:
+        unanswered: The peers that have not answered.
+        state: The state that a peer has reported, ``None`` so far.
+        decided: Set once the state or the answers of all peers are known.
+    """
+
+    unanswered: set[LinkAddress]
+    state: JobState | None = None
+    decided: trio.Event = field(default_factory=trio.Event)
+
+    def record(self, peer: LinkAddress, state: JobState | None) -> None:
+        """Record the answer of a peer."""
+        self.unanswered.discard(peer)
+        self.state = self.state or state
+        if self.state is not None or not self.unanswered:
+            self.decided.set()
+
+    def result(self) -> Result[JobState | None, StepError]:
+        """Return the state, or an error if a peer without an answer may have one."""
+        if self.state is None and self.unanswered:
+            peers = ", ".join(sorted(self.unanswered))
+            return Error(StepError(Step.RECEIVE, peers, "no answer about a job"))
+        return Ok(self.state)
+
 
 class PeerJobs:
     """Exchanges with the other entries what callers may ask any entry for.
@@ -33,6 +77,7 @@
         unannounced: Jobs that have ended since the last announcement.
         announced: Jobs of the last announcement. The next one repeats them, as a
             datagram may be lost.
+        open_queries: Number of the queries that wait for peers.
     """
 
     def __init__(
@@ -48,13 +93,17 @@
         self.log = log
         self.unannounced: list[EndedJob] = []
         self.announced: list[EndedJob] = []
+        self.open_queries = 0
+        self.nursery: trio.Nursery | None = None
         jobs.records.on_ended = self.unannounced.append
 
     async def run(self) -> None:
         """Announce ended jobs until cancelled."""
-        while True:
-            await trio.sleep(ANNOUNCEMENT_INTERVAL_SECONDS)
-            self.announce()
+        async with trio.open_nursery() as nursery:
+            self.nursery = nursery
+            while True:
+                await trio.sleep(ANNOUNCEMENT_INTERVAL_SECONDS)
+                self.announce()
 
     def announce(self) -> None:
         """Tell the peers of the jobs that ended since the last announcement but one."""
@@ -68,7 +117,76 @@
             for peer in self.peers():
                 self.mailer.post(peer, JobsEnded(jobs))
 
-    def handle_message(self, message: JobsEnded) -> None:
-        """Process an announcement of another entry."""
-        for job in message.jobs:
-            self.jobs.records.record_end(job)
+    def handle_message(
+        self, sender: LinkAddress, message: JobsEnded | JobQuery
+    ) -> None:
+        """Process a message of another entry."""
+        match message:
+            case JobsEnded(jobs=jobs):
+                for job in jobs:
+                    self.jobs.records.record_end(job)
+            case JobQuery(key=key):
+                if message.cancels:
+                    self.jobs.cancel(key)
+                reply = JobReply(message.id, self.jobs.records.state(key))
+                self.mailer.post(sender, reply)
+
+    async def ask(
+        self, key: JobKey, cancels: bool, seconds: float
+    ) -> Result[JobState | None, StepError]:
+        """Ask all peers for a job.
+
+        Args:
+            key: The job.
+            cancels: Whether they must cancel it.
+            seconds: Seconds to wait for their answers.
+
+        Returns:
+            The state of the job; ``None`` if all have answered that they don't know it.
+        """
+        query = self._begin_query(key, cancels)
+        if query is None:
+            return Error(StepError(Step.SEND, "", "too many queries for jobs"))
+        with trio.move_on_after(seconds):
+            await query.decided.wait()
+        result = query.result()
+        if result.is_error():
+            self.log.write("job.peers_silent", request=key.id, error=str(result.error))
+        return result
+
+    def tell_cancelled(self, key: JobKey) -> None:
+        """Tell all peers that a job is cancelled, without waiting for them."""
+        self._begin_query(key, cancels=True)
+
+    def _begin_query(self, key: JobKey, cancels: bool) -> OpenQuery | None:
+        if self.open_queries >= MAX_OPEN_QUERIES:
+            return None
+        peers = self.peers()
+        query = OpenQuery(set(peers))
+        if not peers:
+            query.decided.set()
+        else:
+            self.nursery.start_soon(self._ask_all, query, key, cancels)
+        return query
+
+    async def _ask_all(self, query: OpenQuery, key: JobKey, cancels: bool) -> None:
+        self.open_queries += 1
+        try:
+            async with trio.open_nursery() as nursery:
+                for peer in list(query.unanswered):
+                    nursery.start_soon(self._ask_peer, query, peer, key, cancels)
+        finally:
+            self.open_queries -= 1
+            query.decided.set()
+
+    async def _ask_peer(
+        self, query: OpenQuery, peer: LinkAddress, key: JobKey, cancels: bool
+    ) -> None:
+        for _ in range(ATTEMPTS):
+            result = await self.mailer.request(
+                peer, lambda number: JobQuery(number, key, cancels), ATTEMPT_SECONDS
+            )
+            match result:
+                case Result(tag="ok", ok=JobReply(state=state)):
+                    query.record(peer, state)
+                    return
--- a/bergamotcourse/daemons/job_entry.py
+++ b/bergamotcourse/daemons/job_entry.py
@@ -26,6 +26,7 @@
 from bergamotcourse.protocol.task_messages import (
     AgentTurn,
     Farewell,
+    JobQuery,
     JobsEnded,
 )
 from bergamotcourse.state.node_settings import NodeSettings
@@ -93,7 +94,9 @@
         self.peer_jobs = PeerJobs(
             self.jobs, node.mailer, self.peers.heard_lately, node.log
         )
-        self.service = JobService(self.queues, self.jobs, processor, node.log)
+        self.service = JobService(
+            self.queues, self.jobs, processor, node.log, self.peer_jobs
+        )
         self.server = job_http_server(
             node.settings.callers, node.platform.callers(self.service)
         )
@@ -166,8 +169,8 @@
                 self.links.handle_agent_turn(sender, message)
             case Farewell(agent=True):
                 self.links.handle_farewell(sender)
-            case JobsEnded():
-                self.peer_jobs.handle_message(message)
+            case JobsEnded() | JobQuery():
+                self.peer_jobs.handle_message(sender, message)
             case _:
                 self.peers.handle_message(sender, message)
 
--- a/bergamotcourse/platform/callers.py
+++ b/bergamotcourse/platform/callers.py
@@ -4,8 +4,12 @@
 from collections.abc import Callable
 from urllib.parse import urlsplit
 
+from expression import Result
+
+from bergamotcourse.coordination.jobs.job_dispatcher import RESPONSE_MARGIN_SECONDS
 from bergamotcourse.coordination.jobs.job_run import JobAnswer, JobOutcome
 from bergamotcourse.coordination.jobs.job_service import JobService
+from bergamotcourse.errors import StepError
 from bergamotcourse.platform.documents import decode_job
 from bergamotcourse.state.job_spec import JobId, JobQueue, JobState
 from bergamotcourse.transport.http import HttpRequest, HttpResponse
@@ -21,6 +25,9 @@
 
 NOT_READY_RETRY_SECONDS = 1.0
 
+UNANSWERED_RETRY_SECONDS = 1.0
+"""``Retry-After`` of a request about a job that another entry may have."""
+
 
 class CallerRequestHandler:
     """Handles callers' requests to submit, query and cancel jobs."""
@@ -46,7 +53,7 @@
             case "POST":
                 return await self._submit(request, queue, job_id)
             case "GET" | "DELETE":
-                response = self._look_up(request.method, queue, job_id)
+                response = await self._look_up(request, queue, job_id)
                 self.service.log_lookup(
                     request.method, job_id, response.status, request.connection
                 )
@@ -54,10 +61,13 @@
             case _:
                 return plain_problem(405, "only POST, GET and DELETE are served")
 
-    def _look_up(self, method: str, queue: JobQueue, job_id: JobId) -> HttpResponse:
-        if method == "GET":
-            return state_response(self.service.state(job_id, queue))
-        return cancel_response(self.service.cancel(job_id, queue))
+    async def _look_up(
+        self, request: HttpRequest, queue: JobQueue, job_id: JobId
+    ) -> HttpResponse:
+        seconds = caller_deadline_seconds(request) - RESPONSE_MARGIN_SECONDS
+        if request.method == "GET":
+            return state_response(await self.service.state(job_id, queue, seconds))
+        return cancel_response(await self.service.cancel(job_id, queue, seconds))
 
     async def _submit(
         self, request: HttpRequest, queue: JobQueue, job_id: JobId
@@ -115,18 +125,26 @@
             return plain_problem(409, answer.why)
 
 
-def state_response(state: JobState | None) -> HttpResponse:
+def state_response(found: Result[JobState | None, StepError]) -> HttpResponse:
     """Return the response to a request for a job's state."""
-    if state is None:
-        return plain_problem(410, "no such job")
-    return json_answer({"state": state.value})
+    match found:
+        case Result(tag="ok", ok=None):
+            return plain_problem(410, "no such job")
+        case Result(tag="ok", ok=state):
+            return json_answer({"state": state.value})
+        case Result(error=error):
+            return plain_problem(503, str(error), UNANSWERED_RETRY_SECONDS)
 
 
-def cancel_response(cancelled: bool) -> HttpResponse:
+def cancel_response(cancelled: Result[bool, StepError]) -> HttpResponse:
     """Return the response to a request to cancel a job."""
-    if not cancelled:
-        return plain_problem(410, "no such job")
-    return json_answer({})
+    match cancelled:
+        case Result(tag="ok", ok=True):
+            return json_answer({})
+        case Result(tag="ok"):
+            return plain_problem(410, "no such job")
+        case Result(error=error):
+            return plain_problem(503, str(error), UNANSWERED_RETRY_SECONDS)
 
 
 def caller_deadline_seconds(request: HttpRequest) -> float:
--- a/bergamotcourse/protocol/mailer.py
+++ b/bergamotcourse/protocol/mailer.py
@@ -29,6 +29,7 @@
     Envelope,
     FinishedReply,
     Granted,
+    JobReply,
     Joined,
     Promise,
     StartLogReply,
@@ -56,6 +57,7 @@
     ConfigRecords,
     ConfigPart,
     ConfigHave,
+    JobReply,
 )
 
 RequestResult = Result[AnyMessage, StepError]
--- a/bergamotcourse/protocol/messages.py
+++ b/bergamotcourse/protocol/messages.py
@@ -24,6 +24,8 @@
     EntryTurn,
     Farewell,
     Hello,
+    JobQuery,
+    JobReply,
     JobsEnded,
 )
 
@@ -593,6 +595,8 @@
     | ConfigWanted
     | ConfigCopy
     | JobsEnded
+    | JobQuery
+    | JobReply
     | Farewell
 )
 
--- a/bergamotcourse/protocol/task_messages.py
+++ b/bergamotcourse/protocol/task_messages.py
@@ -13,7 +13,7 @@
 from bergamotcourse.protocol.message import Message
 from bergamotcourse.protocol.upstream_orders import RunKey
 from bergamotcourse.state.evacuations import Evacuations
-from bergamotcourse.state.job_spec import JobDigest, SpecDigest
+from bergamotcourse.state.job_spec import JobDigest, JobKey, JobState, SpecDigest
 from bergamotcourse.state.resources import Resources
 
 ITEM_OVERHEAD_BYTES = 100
@@ -279,6 +279,29 @@
     jobs: list[EndedJob]
 
 
+class JobQuery(Message, frozen=True):
+    """An entry asks another one for the state of a job; answered with ``JobReply``.
+
+    Attributes:
+        cancels: Whether the receiver must cancel the job, also if it comes later.
+    """
+
+    id: int
+    key: JobKey
+    cancels: bool
+
+
+class JobReply(Message, frozen=True):
+    """The answer to a ``JobQuery``.
+
+    Attributes:
+        state: State of the job; ``None`` if it is not known at the sender.
+    """
+
+    request_id: int
+    state: JobState | None
+
+
 class Farewell(Message, frozen=True):
     """The sender shuts down; none of its runs is left.
 
--- a/bergamotcourse/tests/jobs/test_jobs_at_other_entries.py
+++ b/bergamotcourse/tests/jobs/test_jobs_at_other_entries.py
@@ -1,4 +1,4 @@
-"""Jobs that are submitted again, at any entry."""
+"""Jobs that are submitted again, cancelled or asked for at any entry."""
 
 import pytest
 import trio
@@ -10,11 +10,13 @@
 from bergamotcourse.coordination.jobs.job_service import JobService
 from bergamotcourse.coordination.jobs.peer_jobs import (
     MAX_ANNOUNCED_JOBS,
+    MAX_OPEN_QUERIES,
     PeerJobs,
 )
 from bergamotcourse.coordination.jobs.processor_lag import ProcessorLag
 from bergamotcourse.coordination.jobs.queues_in_force import QueuesInForce
 from bergamotcourse.protocol.task_messages import EndedJob, JobsEnded
+from bergamotcourse.state.job_spec import JobState
 from bergamotcourse.tests.jobs.fleets import (
     run_fleet,
     runs_of,
@@ -34,6 +36,7 @@
         entry.jobs,
         ProcessorLag(entry.timers, EventLog()),
         EventLog(),
+        entry.peer_jobs,
     )
 
 
@@ -42,6 +45,25 @@
     return await service.submit(spec, QUEUE, TIMEOUT_SECONDS, lambda: False)
 
 
+async def cancel(fleet, name, spec):
+    return await service_of(fleet, name).cancel(spec.id, QUEUE, TIMEOUT_SECONDS)
+
+
+async def state(fleet, name, spec):
+    return await service_of(fleet, name).state(spec.id, QUEUE, TIMEOUT_SECONDS)
+
+
+async def start_job(fleet, spec, answers):
+    """Submit a job to the first entry, and wait until its tasks run."""
+
+    async def wait_for_answer():
+        answers.append(await submit(fleet, "entry-1", spec))
+
+    fleet.nursery.start_soon(wait_for_answer)
+    while len(runs_of(fleet, spec.id)) < spec.steps[0].count:
+        await trio.sleep(0.005)
+
+
 class TestJobThatComesAgainAfterItsSuccess:
     @pytest.mark.parametrize("name", ENTRIES)
     def test_is_told_the_same_and_starts_nothing(self, name):
@@ -110,6 +132,78 @@
         run_fleet(main)
 
 
+class TestCancellationAtAnotherEntry:
+    def test_stops_the_job(self):
+        async def main(fleet):
+            spec, answers = job("a", tasks=2, work=3.0), []
+            await start_job(fleet, spec, answers)
+            cancelled = await cancel(fleet, "entry-2", spec)
+            assert cancelled.ok is True
+            await trio.sleep(0.5)
+            assert [run.kind.value for run in runs_of(fleet, "a")] == ["stopped"] * 2
+            assert [answer.outcome for answer in answers] == [JobOutcome.CANCELLED]
+
+        run_fleet(main)
+
+    @pytest.mark.parametrize("name", ENTRIES)
+    def test_holds_for_a_submission_that_comes_later(self, name):
+        """Guards against a start after the cancellation was acknowledged."""
+
+        async def main(fleet):
+            spec = job("a", tasks=2)
+            assert (await cancel(fleet, "entry-2", spec)).ok is False
+            await trio.sleep(SECONDS_UNTIL_AGAIN)
+            await submit(fleet, name, spec)
+            assert runs_of(fleet, spec.id) == []
+
+        run_fleet(main)
+
+    def test_at_the_entry_of_the_job_holds_at_the_others(self):
+        async def main(fleet):
+            spec = job("a", tasks=2, work=3.0)
+            await start_job(fleet, spec, [])
+            assert (await cancel(fleet, "entry-1", spec)).ok is True
+            await trio.sleep(SECONDS_UNTIL_AGAIN)
+            again = await submit(fleet, "entry-2", spec)
+            assert again.outcome is JobOutcome.CANCELLED
+            assert len(runs_of(fleet, spec.id)) == 2
+
+        run_fleet(main)
+
+    def test_is_not_acknowledged_if_an_entry_does_not_answer(self):
+        async def main(fleet):
+            spec = job("a", tasks=1, work=3.0)
+            await start_job(fleet, spec, [])
+            fleet.entries["entry-1"].freeze()
+            assert (await cancel(fleet, "entry-2", spec)).is_error()
+
+        run_fleet(main)
+
+    def test_of_a_job_that_has_succeeded_asks_nobody(self):
+        async def main(fleet):
+            spec = job("a", tasks=1)
+            await submit(fleet, "entry-1", spec)
+            await trio.sleep(SECONDS_UNTIL_AGAIN)
+            assert (await cancel(fleet, "entry-2", spec)).ok is False
+            sent = fleet.entries["entry-2"].mailer.counters.sent
+            assert sent["JobQuery"] == 0
+
+        run_fleet(main)
+
+
+class TestStateAtAnotherEntry:
+    def test_is_that_of_the_job(self):
+        async def main(fleet):
+            spec = job("a", tasks=1, work=1.0)
+            await start_job(fleet, spec, [])
+            assert (await state(fleet, "entry-2", spec)).ok is JobState.RUNNING
+            await trio.sleep(SECONDS_UNTIL_AGAIN)
+            assert (await state(fleet, "entry-2", spec)).ok is JobState.SUCCEEDED
+            assert (await state(fleet, "entry-2", job("b"))).ok is None
+
+        run_fleet(main)
+
+
 class TestEndedJobs:
     def test_are_remembered_for_the_retention_time(self):
         ended = EndedJobs(0.0)
@@ -133,7 +227,7 @@
 
 
 class TestPeerJobs:
-    def test_announcements_are_bounded(self):
+    def test_announcements_and_queries_are_bounded(self):
         async def main(fleet):
             entry = fleet.entries["entry-1"]
             posted = []
@@ -145,5 +239,8 @@
             assert isinstance(posted[0], JobsEnded)
             assert len(posted[0].jobs) == MAX_ANNOUNCED_JOBS
             assert len(peer_jobs.unannounced) <= MAX_ANNOUNCED_JOBS
+            peer_jobs.open_queries = MAX_OPEN_QUERIES
+            asked = await peer_jobs.ask(QUEUE.key("a"), False, TIMEOUT_SECONDS)
+            assert asked.is_error()
 
         run_fleet(main)
--- a/bergamotcourse/virtual/job_fleet.py
+++ b/bergamotcourse/virtual/job_fleet.py
@@ -22,6 +22,7 @@
 from bergamotcourse.protocol.task_messages import (
     AgentTurn,
     Farewell,
+    JobQuery,
     JobsEnded,
 )
 from bergamotcourse.standins.order_upstream import (
@@ -358,8 +359,8 @@
                 self.links.handle_agent_turn(sender, message)
             case Farewell(agent=True):
                 self.links.handle_farewell(sender)
-            case JobsEnded():
-                self.peer_jobs.handle_message(message)
+            case JobsEnded() | JobQuery():
+                self.peer_jobs.handle_message(sender, message)
 
 
 @dataclass
