Notice that a client has left while its further requests fill the buffer

Callers: a client that pipelines 64 KiB or more behind a request and then closes or resets its connection leaves its job running until the job's own end, while it may send the job again to another entry 1.3 s later.

Cause: reading pauses above PIPELINE_BYTES until the request in progress is answered, and only reading noticed the end of the stream.

While reading pauses, the kernel is asked every 0.1 s whether the peer has closed. It knows the end behind unread bytes, so nothing more has to be read. Rejected: reading on would give up the bound on memory; closing connections that fill the buffer would refuse clients that are served today. Connections whose buffer is not full pay nothing. An end that is still in transit behind more bytes than the kernel's buffer takes stays unknown, as before.

--- a/bergamotcourse/tests/transport/test_abandoned_requests.py
+++ b/bergamotcourse/tests/transport/test_abandoned_requests.py
@@ -6,6 +6,7 @@
 
 import pytest
 import trio
+import trio.testing
 
 from bergamotcourse.transport.http import HttpResponse
 from bergamotcourse.transport.http_connection import PIPELINE_BYTES
@@ -18,6 +19,7 @@
 LOOPBACK = "127.0.0.1"
 RESET_ON_CLOSE = struct.pack("ii", 1, 0)
 TRANSIT_SECONDS = 0.002
+HANG_SECONDS = 5.0
 
 
 def post(body: bytes) -> bytes:
@@ -51,6 +53,21 @@
     client.close()
 
 
+class WaitingHandler:
+    """Handles each request until its client is found to have disconnected."""
+
+    def __init__(self):
+        self.begun = trio.Event()
+        self.cancelled = trio.Event()
+
+    async def handle(self, request):
+        self.begun.set()
+        try:
+            await trio.sleep_forever()
+        finally:
+            self.cancelled.set()
+
+
 class RecordingHandler:
     """Answers each request, and counts them."""
 
@@ -111,6 +128,33 @@
         assert trio.run(serve, script) == ATTEMPTS
 
 
+class TestClientThatLeavesDuringItsRequest:
+    @pytest.mark.parametrize("by_reset", [False, True], ids=["end", "reset"])
+    @pytest.mark.parametrize("following", [0, 1, LONG_PIPELINE_BYTES])
+    def test_its_request_is_cancelled(self, following, by_reset):
+        """Guards against running a request on while its client sends it elsewhere.
+
+        Reading pauses while the client's further requests fill the buffer.
+        """
+
+        async def main():
+            handler = WaitingHandler()
+            server = HttpServer(LOOPBACK, 0, handler.handle)
+            async with trio.open_nursery() as nursery:
+                nursery.start_soon(server.run)
+                await server.wait_open()
+                client = socket.create_connection((LOOPBACK, server.port))
+                client.sendall(REQUEST + bytes(following))
+                await handler.begun.wait()
+                await trio.testing.wait_all_tasks_blocked(0.001)
+                disconnect(client, by_reset)
+                with trio.fail_after(HANG_SECONDS):
+                    await handler.cancelled.wait()
+                nursery.cancel_scope.cancel()
+
+        trio.run(main)
+
+
 class TestWaitingClient:
     @pytest.mark.parametrize("parts", SHAPES.values(), ids=SHAPES.keys())
     def test_its_request_is_handled_after_a_pause(self, parts):
--- a/bergamotcourse/transport/http_connection.py
+++ b/bergamotcourse/transport/http_connection.py
@@ -22,6 +22,10 @@
 PIPELINE_BYTES = 65536
 """Bytes buffered of pipelined requests; reading pauses above it."""
 
+DISCONNECT_POLL_SECONDS = 0.1
+"""Time between checks for a disconnect while reading pauses; a client that has left may
+soon send its request to another server."""
+
 STOP_GRACE_SECONDS = 0.25
 """Time an idle connection stays open after a stop, for a request in transit."""
 
@@ -120,8 +124,8 @@
             while data := await self.stream.receive_some(RECEIVE_BYTES):
                 self.received += data
                 self._bytes_arrived.unpark_all()
-                while len(self.received) >= PIPELINE_BYTES:
-                    await self._bytes_consumed.park()
+                if not await self._wait_for_space():
+                    break
         except trio.BrokenResourceError:
             pass
         self.input_ended = True
@@ -129,6 +133,15 @@
         if self._handler_scope is not None:
             self._handler_scope.cancel()
 
+    async def _wait_for_space(self) -> bool:
+        """Wait until more may be buffered; return false if the client disconnects."""
+        while len(self.received) >= PIPELINE_BYTES:
+            if self.is_abandoned():
+                return False
+            with trio.move_on_after(DISCONNECT_POLL_SECONDS):
+                await self._bytes_consumed.park()
+        return True
+
     async def _answer_requests(self) -> bool:
         """Answer requests until the connection has to end.
 
