End a job at once when the end of one of its runs can't be handled

Callers: a job that waits for a task whose end raised an exception in its entry is answered 504 only when its objective or the caller's time is over, while nothing of that task runs.

Cause: the run is removed from its link before its end is applied, and the end is acknowledged with the others of its message. If an exception stops its handling, the task stays placed, and no further end of that run comes.

Evidence: test_ends_its_job_at_once was answered after 5.16 s of a work of 0.5 s; it is answered with the end now, and the same job succeeds afterwards without overlapping runs.

The exception ends the job with 504, and is logged as before. What the handling left undone isn't known, so the task is not placed again: its run may have been done, and an exception that comes again would start it again and again. Keeping the run in the link until its end is applied would not help either, as the agent doesn't report it a second time.

--- a/bergamotcourse/coordination/jobs/job_dispatcher.py
+++ b/bergamotcourse/coordination/jobs/job_dispatcher.py
@@ -64,6 +64,8 @@
 
 CANCELLED_WHY = "cancelled by its caller"
 
+UNHANDLED_END_WHY = "the end of a task could not be handled"
+
 NO_ROOM_RETRY_SECONDS = 1.0
 """``Retry-After`` of a job that is refused because no agent had room in time."""
 
@@ -310,7 +312,20 @@
     def handle_run_outcome(
         self, task: TaskRun, link: AgentLink, ended: TaskEnded
     ) -> None:
-        """Apply the outcome of a run to its task and job."""
+        """Apply the outcome of a run to its task and job.
+
+        An exception ends the job, since what it left undone isn't known: the task may
+        be neither running nor waiting, or a run of it may be missing from a count.
+        """
+        try:
+            self._apply_run_outcome(task, link, ended)
+        except Exception:
+            task.job.finish(JobOutcome.TIMED_OUT, UNHANDLED_END_WHY)
+            raise
+
+    def _apply_run_outcome(
+        self, task: TaskRun, link: AgentLink, ended: TaskEnded
+    ) -> None:
         job = task.job
         self.withdrawn.record_end(task, ended.key.number)
         if ended.outcome in NEVER_STARTED_OUTCOMES:
--- a/bergamotcourse/tests/jobs/test_failed_items.py
+++ b/bergamotcourse/tests/jobs/test_failed_items.py
@@ -2,11 +2,13 @@
 
 import trio
 
+from bergamotcourse.coordination.jobs.job_run import JobOutcome
 from bergamotcourse.tests.jobs.fleets import run_fleet, runs_of
 from bergamotcourse.virtual.job_fleet import QUEUE, job
 
 TASKS = 6
 LONG_SECONDS = 60.0
+WORK_SECONDS = 0.5
 
 
 def fail_once(call):
@@ -22,11 +24,17 @@
     return wrapped
 
 
-async def run_then_cancel(fleet, prepare):
-    """Cancel a job whose tasks all run at one agent; return its entry and agent."""
+def record_failures(fleet):
+    """Return the list that receives the messages which no process could handle."""
     failed = []
     for process in (*fleet.entries.values(), *fleet.agents.values()):
         process.mailer.on_failed = lambda *fields: failed.append(fields)
+    return failed
+
+
+async def run_then_cancel(fleet, prepare):
+    """Cancel a job whose tasks all run at one agent; return its entry and agent."""
+    failed = record_failures(fleet)
     spec = job("a", tasks=TASKS, work=LONG_SECONDS)
     fleet.nursery.start_soon(fleet.submit, "entry-1", spec, QUEUE, 90.0)
     while len(runs_of(fleet, "a")) < TASKS:
@@ -78,3 +86,24 @@
             assert stops.count("withdrawn") == TASKS - 1
 
         run_fleet(main, entries=1, agents=1)
+
+
+class TestEndThatFails:
+    def test_ends_its_job_at_once(self):
+        """Guards against callers that wait for a task that is not running."""
+
+        async def main(fleet):
+            failed = record_failures(fleet)
+            estimates = fleet.entries["entry-1"].jobs.estimates
+            estimates.record_run_time = fail_once(estimates.record_run_time)
+            spec = job("a", tasks=TASKS, work=WORK_SECONDS)
+            begun = trio.current_time()
+            answer = await fleet.submit("entry-1", spec, QUEUE, LONG_SECONDS)
+            assert answer.outcome is JobOutcome.TIMED_OUT
+            assert answer.at - begun < 2 * WORK_SECONDS
+            assert len(failed) == 1
+            again = await fleet.submit("entry-1", spec, QUEUE, LONG_SECONDS)
+            assert again.outcome is JobOutcome.SUCCEEDED
+            assert fleet.overlaps() == []
+
+        run_fleet(main, entries=1, agents=1)
