--- a/bergamotcourse/coordination/jobs/ended_jobs.py
+++ b/bergamotcourse/coordination/jobs/ended_jobs.py
@@ -11,7 +11,7 @@
 a job again seconds after its answer."""
 
 MAX_JOBS_PER_GENERATION = 20_000
-"""Bound on the memory for ended jobs: two generations take about 7 MB."""
+"""Bound on the memory for ended jobs: two generations take about 6 MB."""
 
 
 class EndedJobs:
--- a/bergamotcourse/tests/platform/soak/verdict.py
+++ b/bergamotcourse/tests/platform/soak/verdict.py
@@ -45,7 +45,7 @@
 MAX_CANCELLATION_SECONDS = 3.0
 """Longest time from the answer to a cancellation until nothing starts for its job."""
 
-BEGUN_CALL_EVENTS = ("job.taken", "job.joined", "job.already_cancelled")
+BEGUN_CALL_EVENTS = ("job.taken", "job.joined", "job.ended_before")
 
 ORDERED_EXIT_CODES = (0, -signal.SIGKILL, -signal.SIGTERM)
 
