--- a/bergamotcourse/tests/platform/soak/run.py
+++ b/bergamotcourse/tests/platform/soak/run.py
@@ -1,12 +1,13 @@
 """Run of one soak: cluster, callers, faults, recovery, then the verdict."""
 
+import itertools
 import random
 from dataclasses import dataclass
 from pathlib import Path
 
 import trio
 
-from bergamotcourse.tests.platform.cluster import make_job, send_request
+from bergamotcourse.tests.platform.cluster import Node, make_job, send_request
 from bergamotcourse.tests.platform.soak.callers import Callers
 from bergamotcourse.tests.platform.soak.faults import Faults
 from bergamotcourse.tests.platform.soak.proxied_cluster import ProxiedCluster
@@ -109,32 +110,47 @@
     path = cluster.newest_route_prefix()
     request = HttpRequest("GET", path, [("host", "one.example")])
     old = []
-    for node in cluster.entries():
+
+    async def ask(node: Node) -> None:
         answer = await send_request(node.addresses["front"], request)
         if answer.is_ok() and answer.ok.status == 404:
             old.append(f"{node.name} does not know {path}")
-    return old
+
+    async with trio.open_nursery() as nursery:
+        for node in cluster.entries():
+            nursery.start_soon(ask, node)
+    return sorted(old)
 
 
 async def wait_for_recovery(cluster: ProxiedCluster, records: Records) -> list[str]:
-    """Wait until each entry serves the latest route; return which did not in time."""
+    """Wait until each entry serves the latest route; return which did not in time.
+
+    The limit counts from the end of the faults for all entries alike.
+    """
     late = []
-    number = RECOVERY_JOB_BASE
-    for node in cluster.entries():
-        with trio.move_on_after(RECOVERY_SECONDS) as scope:
-            while True:
-                number += 1
-                request = make_job(
-                    number, 0.05, 2, prefix=cluster.newest_route_prefix()
-                )
-                records.tasks[request.target.rpartition("/")[2]] = 2
-                answer = await send_request(node.addresses["front"], request)
-                if answer.is_ok() and answer.ok.status == 200:
-                    break
+    numbers = itertools.count(RECOVERY_JOB_BASE + 1)
+
+    async def wait_for(node: Node) -> None:
+        with trio.move_on_after(RECOVERY_SECONDS):
+            while not await serves_latest_route(cluster, records, node, next(numbers)):
                 await trio.sleep(0.1)
-        if scope.cancelled_caught:
-            late.append(f"{node.name} does not serve after the faults")
-    return late
+            return
+        late.append(f"{node.name} does not serve after the faults")
+
+    async with trio.open_nursery() as nursery:
+        for node in cluster.entries():
+            nursery.start_soon(wait_for, node)
+    return sorted(late)
+
+
+async def serves_latest_route(
+    cluster: ProxiedCluster, records: Records, node: Node, number: int
+) -> bool:
+    """Return whether an entry answers a new job on the latest route with success."""
+    request = make_job(number, 0.05, 2, prefix=cluster.newest_route_prefix())
+    records.tasks[request.target.rpartition("/")[2]] = 2
+    answer = await send_request(node.addresses["front"], request)
+    return answer.is_ok() and answer.ok.status == 200
 
 
 async def wait_until_upstreams_idle(cluster: ProxiedCluster) -> list[str]:
