Read further pages of the lists of the platform's store

Seen: by reading. With 500 rows, or 1 MB of them, whose keys sort first, no other entry and no other upstream's report was found in the store, and neither a configuration nor an evacuated zone.

Cause: the store answers a read with one page of at most 500 rows or 1 MB, and tells with `has_more` that rows follow. The client took the first page for the list.

Fix: further pages are read from the last key on, until there are no more. - A row that stays in the table is never missing, as pages follow the keys. A read of the configuration needs one moment: after more than one page the feed is asked whether the table changed, and if so the read fails. - A page that fails, or that has no further rows, fails the read. - A list of more than 8 pages, or one that takes longer than its timeout, is an error of its own, logged as `store.list_too_long`. Entries and agents don't back off and read it again at once, but wait for their usual interval. - 12,000 skipped rows are remembered instead of 1,000, so that odd rows on several pages are still logged once each.

A list of one page takes one call, as before.

--- a/bergamotcourse/coordination/jobs/store_watch.py
+++ b/bergamotcourse/coordination/jobs/store_watch.py
@@ -12,7 +12,12 @@
 from bergamotcourse.coordination.jobs.queues_in_force import QueuesInForce
 from bergamotcourse.errors import StepError
 from bergamotcourse.ids import LinkAddress
-from bergamotcourse.protocol.job_store import ConfigRead, HistoryGoneError, JobStore
+from bergamotcourse.protocol.job_store import (
+    ConfigRead,
+    HistoryGoneError,
+    JobStore,
+    ListTooLongError,
+)
 from bergamotcourse.protocol.upstream_orders import UpstreamReport
 from bergamotcourse.state.evacuations import Evacuations, apply_zone_changes
 
@@ -221,6 +226,8 @@
     async def poll_entries(self, learn, seconds: float = ENTRY_POLL_SECONDS) -> None:
         """Read the entries from the store periodically until cancelled.
 
+        A list that is too long is not read again sooner: each time takes many calls.
+
         Args:
             learn: Called with the addresses after each read.
             seconds: Interval between reads.
@@ -232,6 +239,8 @@
                 backoff.succeeded()
                 learn(result.ok)
                 await trio.sleep(seconds)
+            elif isinstance(result.error, ListTooLongError):
+                await trio.sleep(seconds)
             else:
                 await backoff.pause_after_failure(result.error)
 
--- a/bergamotcourse/platform/store.py
+++ b/bergamotcourse/platform/store.py
@@ -2,7 +2,7 @@
 
 import base64
 from collections.abc import Callable, Iterable
-from dataclasses import dataclass
+from dataclasses import dataclass, replace
 from typing import Any, TypeVar
 from urllib.parse import urlencode
 
@@ -13,7 +13,11 @@
 from bergamotcourse.coordination.event_log import EventLog
 from bergamotcourse.errors import Step, StepError
 from bergamotcourse.ids import LinkAddress, ZoneName
-from bergamotcourse.protocol.job_store import ConfigRead, HistoryGoneError
+from bergamotcourse.protocol.job_store import (
+    ConfigRead,
+    HistoryGoneError,
+    ListTooLongError,
+)
 from bergamotcourse.protocol.upstream_orders import UpstreamReport
 from bergamotcourse.state.addresses import is_address
 from bergamotcourse.state.decoding import decode_document
@@ -32,6 +36,9 @@
 UPSTREAM_TABLE = "upstreams"
 HISTORY_GONE_STATUS = 410
 
+MAX_LIST_PAGES = 8
+"""Bounds the memory and the calls that a list takes; a page has up to 1 MB."""
+
 MAX_CONNECTIONS = 4
 """One for each component of a process that calls the store."""
 
@@ -50,8 +57,11 @@
 MAX_LOGGED_ERROR_CHARACTERS = 200
 """Errors may contain texts of the row."""
 
-MAX_REMEMBERED_SKIPPED_ROWS = 1000
-"""Rows remembered so that each is logged once; above it some are logged again."""
+MAX_REMEMBERED_SKIPPED_ROWS = 12_000
+"""Rows remembered so that each is logged once; above it some are logged again.
+
+Three lists of ``MAX_LIST_PAGES`` pages have this many rows.
+"""
 
 JSON = ("content-type", "application/json")
 
@@ -85,13 +95,15 @@
     """The rows of an answer that could be decoded.
 
     Attributes:
-        version: The store's newest version.
+        version: The store's newest version; that of the first page if there are more.
         has_more: More rows follow.
+        pages: Number of pages that were read, each as of a moment of its own.
     """
 
     version: int
     rows: list[WireRow]
     has_more: bool = False
+    pages: int = 1
 
     def whole_transactions(self) -> "DecodedRows":
         """Return the rows of changes up to a version of which no change is missing.
@@ -104,6 +116,24 @@
         rows = [row for row in self.rows if row.ver < last]
         return DecodedRows(last - 1, rows)
 
+    def last_key(self) -> str | None:
+        """Return the key of the last row, if there is one."""
+        return self.rows[-1].key if self.rows else None
+
+    def extended_by(self, page: "DecodedRows") -> "DecodedRows":
+        """Return these rows with those of the next page.
+
+        That page begins with the last row of these, unless it was removed.
+        """
+        last = self.last_key()
+        rows = [row for row in page.rows if last is None or row.key > last]
+        return replace(
+            self,
+            rows=self.rows + rows,
+            has_more=page.has_more,
+            pages=self.pages + 1,
+        )
+
 
 T = TypeVar("T")
 
@@ -139,7 +169,10 @@
 
     async def read_config(self, timeout: float) -> Result[ConfigRead, StepError]:
         """Return the configuration and all evacuated zones."""
-        rows = await self._read_table(OPERATOR_TABLE, timeout)
+        deadline = trio.current_time() + timeout
+        rows = await self._read_table(OPERATOR_TABLE, deadline)
+        if rows.is_ok() and rows.ok.pages > 1:
+            rows = await self._require_unchanged(OPERATOR_TABLE, rows.ok, deadline)
         return rows.map(lambda read: self._config_from_rows(read, is_snapshot=True))
 
     async def wait_for_config_changes(
@@ -155,9 +188,7 @@
         The error is a ``HistoryGoneError`` if the store no longer has all changes
         since that version, or they do not fit into its answer.
         """
-        fields = {"table": OPERATOR_TABLE, "after": after, "wait_ms": int(wait * 1000)}
-        target = f"/bergamotcourse/rows-feed?{urlencode(fields)}"
-        rows = await self._get_rows(OPERATOR_TABLE, target, timeout)
+        rows = await self._get_changes(OPERATOR_TABLE, after, wait, timeout)
         if rows.is_error():
             return rows
         read = rows.ok.whole_transactions()
@@ -182,7 +213,7 @@
         self, timeout: float
     ) -> Result[list[LinkAddress], StepError]:
         """Return the registered entries."""
-        rows = await self._read_table(ENTRY_TABLE, timeout)
+        rows = await self._read_table(ENTRY_TABLE, trio.current_time() + timeout)
         return rows.map(self._entries_from_rows)
 
     async def put_upstream(
@@ -196,14 +227,15 @@
         self, timeout: float
     ) -> Result[dict[LinkAddress, UpstreamReport], StepError]:
         """Return the last stored report of each upstream, by agent."""
-        rows = await self._read_table(UPSTREAM_TABLE, timeout)
+        rows = await self._read_table(UPSTREAM_TABLE, trio.current_time() + timeout)
         return rows.map(self._upstreams_from_rows)
 
     async def read_upstream(
         self, agent: LinkAddress, timeout: float
     ) -> Result[UpstreamReport | None, StepError]:
         """Return the last stored report of one agent's upstream."""
-        rows = await self._read_table(UPSTREAM_TABLE, timeout, only_key=agent)
+        key_range = {"from": agent, "to": agent + SINGLE_KEY_RANGE_SUFFIX}
+        rows = await self._get_page(UPSTREAM_TABLE, key_range, timeout)
         return rows.map(lambda read: self._upstreams_from_rows(read).get(agent))
 
     async def aclose(self) -> None:
@@ -218,14 +250,69 @@
         return await self._transact({"put": [row]}, timeout)
 
     async def _read_table(
-        self, table: str, timeout: float, only_key: str = ""
+        self, table: str, deadline: float
     ) -> Result[DecodedRows, StepError]:
-        fields = {"table": table, "part": ""}
-        if only_key:
-            fields |= {"from": only_key, "to": only_key + SINGLE_KEY_RANGE_SUFFIX}
-        query = urlencode(fields)
+        """Return all rows of a table, in the order of their keys.
+
+        A row that stays in the table while its pages are read is never missing. One
+        that is written or removed meanwhile may be.
+
+        The error is a ``ListTooLongError`` if some pages were read, but not all within
+        ``MAX_LIST_PAGES`` and the time.
+
+        Args:
+            table: The table.
+            deadline: Time on trio's clock by which all pages must have been read.
+        """
+        result = await self._get_page(table, {}, seconds_until(deadline))
+        while result.is_ok() and result.ok.has_more:
+            result = await self._read_next_page(table, result.ok, deadline)
+        return result
+
+    async def _read_next_page(
+        self, table: str, read: DecodedRows, deadline: float
+    ) -> Result[DecodedRows, StepError]:
+        """Return the rows that have been read with those of the next page."""
+        if read.pages >= MAX_LIST_PAGES:
+            return self._list_too_long(table, read.pages)
+        # The key that follows the last one may be longer than the store allows, so the
+        # next page begins with the last row again.
+        key_range = {} if (last := read.last_key()) is None else {"from": last}
+        page = await self._get_page(table, key_range, seconds_until(deadline))
+        if page.is_error():
+            late = seconds_until(deadline) == 0
+            return self._list_too_long(table, read.pages) if late else page
+        extended = read.extended_by(page.ok)
+        if extended.has_more and extended.last_key() == last:
+            return self._error(f"a page of {table} has no further rows")
+        return Ok(extended)
+
+    async def _require_unchanged(
+        self, table: str, read: DecodedRows, deadline: float
+    ) -> Result[DecodedRows, StepError]:
+        """Return the rows, or an error if the table changed while they were read."""
+        changes = await self._get_changes(
+            table, read.version, 0.0, seconds_until(deadline)
+        )
+        if changes.is_error():
+            return changes
+        if changes.ok.rows or changes.ok.has_more:
+            return self._error(f"{table} changed while its pages were read")
+        return Ok(read)
+
+    async def _get_page(
+        self, table: str, key_range: dict[str, str], timeout: float
+    ) -> Result[DecodedRows, StepError]:
+        query = urlencode({"table": table, "part": ""} | key_range)
         return await self._get_rows(table, f"/bergamotcourse/rows-get?{query}", timeout)
 
+    async def _get_changes(
+        self, table: str, after: int, wait: float, timeout: float
+    ) -> Result[DecodedRows, StepError]:
+        fields = {"table": table, "after": after, "wait_ms": int(wait * 1000)}
+        target = f"/bergamotcourse/rows-feed?{urlencode(fields)}"
+        return await self._get_rows(table, target, timeout)
+
     async def _get_rows(
         self, table: str, target: str, timeout: float
     ) -> Result[DecodedRows, StepError]:
@@ -235,7 +322,7 @@
         if answer.ok.status == HISTORY_GONE_STATUS:
             return self._history_gone("history is gone")
         if answer.ok.status != 200:
-            return self._status_error(answer.ok.status)
+            return self._error(f"status {answer.ok.status}")
         try:
             read = decode_document(_rows_decoder, answer.ok.body)
         except ValueError as error:
@@ -325,14 +412,25 @@
         if answer.is_error():
             return answer
         if answer.ok.status != 200:
-            return self._status_error(answer.ok.status)
+            return self._error(f"status {answer.ok.status}")
         return Ok(None)
 
     def _history_gone(self, why: str) -> Result:
         return Error(HistoryGoneError(Step.STORE, self.client.peer, why))
 
-    def _status_error(self, status: int) -> Result:
-        return Error(StepError(Step.STORE, self.client.peer, f"status {status}"))
+    def _list_too_long(self, table: str, pages: int) -> Result:
+        """Return the error of a list of which only some pages could be read."""
+        self.log.write("store.list_too_long", table=table, pages=pages)
+        why = f"only {pages} pages of {table} were read"
+        return Error(ListTooLongError(Step.STORE, self.client.peer, why))
+
+    def _error(self, why: str) -> Result:
+        return Error(StepError(Step.STORE, self.client.peer, why))
+
+
+def seconds_until(deadline: float) -> float:
+    """Return the seconds until a time on trio's clock, 0 if it has passed."""
+    return max(0.0, deadline - trio.current_time())
 
 
 def zone_changes_from_rows(read: DecodedRows) -> tuple[ZoneChange, ...]:
--- a/bergamotcourse/protocol/job_store.py
+++ b/bergamotcourse/protocol/job_store.py
@@ -35,6 +35,10 @@
     """The store no longer has the requested changes; a full read is required."""
 
 
+class ListTooLongError(StepError):
+    """A list has more pages than can be read; its first pages are not the whole."""
+
+
 class JobStore(Protocol):
     """Calls to the store; timeouts are in seconds, and no call is retried."""
 
--- a/bergamotcourse/tests/platform/test_odd_entries.py
+++ b/bergamotcourse/tests/platform/test_odd_entries.py
@@ -11,6 +11,11 @@
 from bergamotcourse.tests.platform.test_store import REPORT
 from bergamotcourse.transport.http import HttpRequest
 
+LEARN_TIMEOUT_SECONDS = 20.0
+"""Covers the start of a process on a busy machine, and two reads of the list."""
+
+STRANGER = "udp://127.1.1.1:7720"
+
 HEARTBEAT_PATH = "/bergamotcourse/Instances.Heartbeat/"
 
 
@@ -34,6 +39,23 @@
     cluster.rows.transact({"put": put})
 
 
+def write_entry_after_odd_rows(cluster):
+    """Write a page of odd rows, and the row of an entry whose key sorts after them."""
+    odd = [{"table": "entries", "key": f"0{n:03}", "value": ""} for n in range(500)]
+    cluster.rows.transact({"put": odd})
+    row = {"table": "entries", "key": STRANGER, "value": ""}
+    cluster.rows.transact({"put": [row]})
+
+
+async def wait_until_learned(node, peer):
+    """Wait until a process has learned of an entry."""
+    while not any(
+        event["event"] == "peer.learned" and event["peer"] == peer
+        for event in node.events()
+    ):
+        await trio.sleep(0.1)
+
+
 async def send_odd_reports(cluster, agent):
     """Send each variant of the report of an agent's upstream."""
     worker = cluster.workers[agent.name]
@@ -71,3 +93,16 @@
                 assert (await submit_job(entry, 2, 0.1)).status == 200
 
         trio.run(main)
+
+    def test_entry_whose_row_follows_a_page_of_odd_rows_is_learned(self, tmp_path):
+        async def main():
+            async with running_cluster(tmp_path) as (cluster, entry, agent):
+                write_entry_after_odd_rows(cluster)
+                entry.kill()
+                cluster.start_process(entry)
+                with trio.fail_after(LEARN_TIMEOUT_SECONDS):
+                    await wait_until_learned(entry, STRANGER)
+                await cluster.wait_until_ready(entry)
+                assert (await submit_job(entry, 1, 0.1)).status == 200
+
+        trio.run(main)
--- a/bergamotcourse/tests/platform/test_store.py
+++ b/bergamotcourse/tests/platform/test_store.py
@@ -4,18 +4,23 @@
 
 import msgspec
 import trio
+import trio.testing
+from expression import Error, Ok
 from hypothesis import given
 from hypothesis import strategies as st
 
 from bergamotcourse.coordination.event_log import EventLog
+from bergamotcourse.errors import Step
 from bergamotcourse.ids import LinkAddress, ServiceName, UpstreamId, ZoneName
-from bergamotcourse.platform.store import DecodedRows, Store
-from bergamotcourse.protocol.job_store import HistoryGoneError
+from bergamotcourse.platform.store import MAX_LIST_PAGES, DecodedRows, Store
+from bergamotcourse.protocol.job_store import HistoryGoneError, ListTooLongError
 from bergamotcourse.protocol.upstream_orders import UpstreamReport
 from bergamotcourse.state.evacuations import ZoneChange
 from bergamotcourse.state.node_settings import Endpoint
 from bergamotcourse.state.resources import Resources
 from bergamotcourse.tests.platform.standins import StoreStandIn
+from bergamotcourse.transport.http import HttpError, Sent
+from bergamotcourse.transport.http_json import json_answer
 from bergamotcourse.transport.http_server import HttpServer
 
 ENTRY = LinkAddress("udp://10.0.0.1:7720")
@@ -333,3 +338,254 @@
         read = DecodedRows(1, store._decode_rows("entries", map(msgspec.Raw, rows)))
         assert ENTRY in store._entries_from_rows(read)
         assert store._upstreams_from_rows(read) == {}
+
+
+TIMEOUT = 10.0
+"""Seconds in which all pages of a list are read on a busy machine, too."""
+
+FIRST_KEY = "0"
+ROW_BYTES = 65_536
+"""Most bytes of a row's value."""
+
+
+def put_odd_rows(rows, table, count, value="e30="):
+    """Write rows whose keys sort before all addresses."""
+    put = [
+        {"table": table, "key": f"{FIRST_KEY}{n:05}", "value": value}
+        for n in range(count)
+    ]
+    rows.transact({"put": put})
+
+
+class StoreThatChanges(StoreStandIn):
+    """A store that is changed after it has answered a number of reads."""
+
+    def __init__(self, reads, change):
+        super().__init__()
+        self.reads_before = reads
+        self.change = change
+
+    async def handle(self, request):
+        response = await super().handle(request)
+        if "rows-get" in request.target and self.reads == self.reads_before:
+            self.change(self)
+        return response
+
+
+class SlowClient:
+    """A client whose every request takes 0.25 s and returns a page of one entry.
+
+    Attributes:
+        pages: The number of pages.
+        timeouts: The timeouts of the requests.
+    """
+
+    peer = "store"
+
+    def __init__(self, pages):
+        self.pages = pages
+        self.timeouts = []
+
+    async def request(self, request, timeout):
+        self.timeouts.append(timeout)
+        count = len(self.timeouts)
+        await trio.sleep(min(0.25, timeout))
+        if timeout < 0.25:
+            return Error(HttpError(Step.RECEIVE, self.peer, "timed out", Sent.MAYBE))
+        row = {"key": f"udp://10.0.0.{count}:7720"}
+        body = {"ver": 1, "rows": [row], "has_more": count < self.pages}
+        return Ok(json_answer(body))
+
+
+class TestPages:
+    def test_entry_after_500_odd_rows_is_listed(self):
+        rows = StoreStandIn()
+        put_odd_rows(rows, "entries", 500)
+
+        async def scenario(store):
+            await store.put_entry(ENTRY, TIMEOUT)
+            assert (await store.read_entries(TIMEOUT)).ok == [ENTRY]
+
+        with_store(rows, scenario)
+
+    def test_report_after_500_odd_rows_is_read(self):
+        rows = StoreStandIn()
+        put_odd_rows(rows, "upstreams", 500)
+
+        async def scenario(store):
+            await store.put_upstream(ENTRY, REPORT, TIMEOUT)
+            assert (await store.read_upstreams(TIMEOUT)).ok == {ENTRY: REPORT}
+
+        with_store(rows, scenario)
+
+    def test_report_after_a_megabyte_of_odd_rows_is_read(self):
+        rows = StoreStandIn()
+        value = base64.b64encode(bytes(ROW_BYTES)).decode()
+        put_odd_rows(rows, "upstreams", 20, value)
+
+        async def scenario(store):
+            await store.put_upstream(ENTRY, REPORT, TIMEOUT)
+            assert (await store.read_upstreams(TIMEOUT)).ok == {ENTRY: REPORT}
+
+        with_store(rows, scenario)
+
+    def test_configuration_and_zones_after_500_odd_rows_are_read(self):
+        rows = StoreStandIn()
+        put_odd_rows(rows, "op", 500)
+        value = base64.b64encode(b"{}").decode()
+        rows.transact({"put": [{"table": "op", "key": "config", "value": value}]})
+        evacuate(rows, "north")
+
+        async def scenario(store):
+            read = (await store.read_config(TIMEOUT)).ok
+            assert (read.content, read.position) == (b"{}", 3)
+            assert [change.zone for change in read.zones] == ["north"]
+
+        with_store(rows, scenario)
+
+    def test_each_of_many_entries_is_listed_once(self):
+        rows = StoreStandIn()
+        rows.page_rows = 7
+        addresses = sorted(f"udp://10.0.0.{n}:7720" for n in range(1, 40))
+        put = [{"table": "entries", "key": key, "value": ""} for key in addresses]
+        rows.transact({"put": put})
+
+        async def scenario(store):
+            assert (await store.read_entries(TIMEOUT)).ok == addresses
+
+        with_store(rows, scenario)
+
+    def test_list_of_one_page_takes_one_call(self):
+        rows = StoreStandIn()
+        put_odd_rows(rows, "entries", 500)
+
+        async def scenario(store):
+            assert (await store.read_entries(TIMEOUT)).ok == []
+            assert (await store.read_config(TIMEOUT)).is_ok()
+
+        with_store(rows, scenario)
+        assert rows.reads == 2
+
+    def test_page_that_fails_leaves_no_partial_list(self):
+        def fail(rows):
+            rows.status = 503
+
+        rows = StoreThatChanges(1, fail)
+        rows.page_rows = 2
+
+        async def scenario(store):
+            for number in (1, 2, 3):
+                await store.put_entry(
+                    LinkAddress(f"udp://10.0.0.{number}:7720"), TIMEOUT
+                )
+            error = (await store.read_entries(TIMEOUT)).error
+            assert not isinstance(error, ListTooLongError)
+
+        with_store(rows, scenario)
+
+    def test_entry_removed_between_pages_hides_no_other(self):
+        addresses = [LinkAddress(f"udp://10.0.0.{number}:7720") for number in (1, 2, 3)]
+
+        def remove_second(rows):
+            rows.transact({"remove": [{"table": "entries", "key": addresses[1]}]})
+
+        rows = StoreThatChanges(1, remove_second)
+        rows.page_rows = 2
+
+        async def scenario(store):
+            for address in addresses:
+                await store.put_entry(address, TIMEOUT)
+            listed = (await store.read_entries(TIMEOUT)).ok
+            assert addresses[0] in listed
+            assert addresses[2] in listed
+
+        with_store(rows, scenario)
+
+    def test_zones_that_change_between_pages_are_not_a_snapshot(self):
+        """No version has both zones of this read: one ends before the other starts."""
+
+        def move(rows):
+            rows.transact({"remove": [{"table": "op", "key": "evacuate/east"}]})
+            evacuate(rows, "west")
+
+        rows = StoreThatChanges(1, move)
+        rows.page_rows = 2
+        evacuate(rows, "east", "north", "south")
+
+        async def scenario(store):
+            assert (await store.read_config(TIMEOUT)).is_error()
+            read = (await store.read_config(TIMEOUT)).ok
+            assert [change.zone for change in read.zones] == ["north", "south", "west"]
+
+        with_store(rows, scenario)
+
+    def test_changes_of_other_tables_leave_a_snapshot_valid(self):
+        def announce(rows):
+            rows.transact({"put": [{"table": "entries", "key": ENTRY, "value": ""}]})
+
+        rows = StoreThatChanges(1, announce)
+        rows.page_rows = 2
+        evacuate(rows, "east", "north", "south")
+
+        async def scenario(store):
+            read = (await store.read_config(TIMEOUT)).ok
+            assert (read.position, len(read.zones)) == (1, 3)
+
+        with_store(rows, scenario)
+
+    def test_list_of_too_many_pages_is_a_logged_error(self):
+        rows = StoreStandIn()
+        rows.page_rows = 3
+        put_odd_rows(rows, "entries", 2 * MAX_LIST_PAGES + 2)
+
+        async def scenario(store):
+            result = await store.read_entries(TIMEOUT)
+            assert isinstance(result.error, ListTooLongError)
+
+        lines = with_store(rows, scenario)
+        assert rows.reads == MAX_LIST_PAGES
+        logged = [fields for kind, fields in lines if kind == "store.list_too_long"]
+        assert logged == [{"table": "entries", "pages": MAX_LIST_PAGES}]
+
+    def test_page_without_progress_is_an_error(self):
+        rows = StoreStandIn()
+        rows.page_rows = 1
+
+        async def scenario(store):
+            for number in (1, 2):
+                await store.put_entry(
+                    LinkAddress(f"udp://10.0.0.{number}:7720"), TIMEOUT
+                )
+            assert (await store.read_entries(TIMEOUT)).is_error()
+
+        with_store(rows, scenario)
+        assert rows.reads == 2
+
+    def test_all_pages_share_the_timeout(self):
+        async def main():
+            store = Store(Endpoint("127.0.0.1", 1), EventLog())
+            store.client = SlowClient(pages=4)
+            assert len((await store.read_entries(1.0)).ok) == 4
+            assert store.client.timeouts == [1.0, 0.75, 0.5, 0.25]
+
+        trio.run(main, clock=trio.testing.MockClock(autojump_threshold=0))
+
+    def test_list_that_takes_too_much_time_is_too_long(self):
+        async def main():
+            store = Store(Endpoint("127.0.0.1", 1), EventLog(lambda *_: None))
+            store.client = SlowClient(pages=6)
+            result = await store.read_entries(1.1)
+            assert isinstance(result.error, ListTooLongError)
+            assert trio.current_time() == 1.1
+
+        trio.run(main, clock=trio.testing.MockClock(autojump_threshold=0))
+
+    def test_each_odd_row_of_many_pages_is_logged_once(self):
+        rows = StoreStandIn()
+        put_odd_rows(rows, "entries", 1200)
+
+        async def scenario(store):
+            assert (await store.read_entries(TIMEOUT)).is_ok()
+            assert (await store.read_entries(TIMEOUT)).is_ok()
+
+        assert len(with_store(rows, scenario)) == 1200
