End a read of changes whose pages make no progress

Seen: by reading. If a page of the session path's lists says that more follows, but has no later version, the client asked for the same page without an end.

Evidence: `test_page_without_a_later_version_is_an_error` failed before: the page was read five times, until the stand-in said that no more follows.

Fix: such a page is an error of the read; callers keep what they know, as after any failed read. The stand-in never ends a page inside a transaction, so each of its pages has a later version.

--- a/bergamotcourse/protocol/platform_client.py
+++ b/bergamotcourse/protocol/platform_client.py
@@ -13,6 +13,7 @@
 import msgspec
 from expression import Error, Ok, Result
 
+from bergamotcourse.errors import Step
 from bergamotcourse.protocol.attempts import Attempts, RetryLimits
 from bergamotcourse.protocol.circuit_breaker import CircuitBreaker
 from bergamotcourse.protocol.platform import (
@@ -144,6 +145,8 @@
             if read.is_error():
                 return Error(read.error.to_platform_error(False))
             page = read.ok
+            if page.more and page.version <= version:
+                return self._stuck_error()
             version = page.version
             for row in page.rows:
                 rows.pop(row.key, None)
@@ -151,6 +154,11 @@
             if not page.more:
                 return Ok(Changes(version, list(rows.values())))
 
+    def _stuck_error(self) -> Result[Changes, PlatformError]:
+        """Return the error of a page from which reading cannot go on."""
+        why = "a page of changes has no later version"
+        return Error(PlatformError(Step.DECODE, self.channel.peer, why, False))
+
     async def put_object(
         self, name: str, content: bytes
     ) -> Result[None, PlatformError]:
--- a/bergamotcourse/tests/protocol/test_platform_client.py
+++ b/bergamotcourse/tests/protocol/test_platform_client.py
@@ -20,7 +20,11 @@
     PlatformClientSettings,
 )
 from bergamotcourse.protocol.platform_transaction import find_witness
-from bergamotcourse.protocol.platform_wire import TRANSACT_TARGET, TransactCall
+from bergamotcourse.protocol.platform_wire import (
+    TRANSACT_TARGET,
+    SincePage,
+    TransactCall,
+)
 from bergamotcourse.standins.platform import PlatformHandler, serve_platform
 from bergamotcourse.standins.platform_store import CallKind, MemoryPlatform
 from bergamotcourse.standins.platform_table import Table
@@ -247,6 +251,19 @@
         http.before = change_a
         assert (await client.read_since("", 0)).ok == table.read_since("", 0)
 
+    @on_network()
+    async def test_page_without_a_later_version_is_an_error(
+        self, client, http, platform
+    ):
+        """Guards against the same page being read again and again."""
+
+        async def same_page(request):
+            page = SincePage(1, [], more=len(http.requests) < 5)
+            return HttpResponse(200, [], msgspec.msgpack.encode(page))
+
+        http.handler = same_page
+        assert (await client.read_since("", 1)).is_error()
+
     @on_network([Fate.LOSE_ANSWER])
     async def test_objects_survive_lost_calls_and_answers(self, client, http, platform):
         assert (await client.get_object("x/y z")).ok is None
