--- a/bergamotcourse/tests/platform/odd_values.py
+++ b/bergamotcourse/tests/platform/odd_values.py
@@ -4,11 +4,11 @@
 
 NESTING = 200_000
 
-MAX_ROW_VALUE_BYTES = 60_000
-"""Fits with the rest of a document into a row of the store."""
+ROW_BYTES = 65_536
+"""Most bytes that the platform's store keeps in a row."""
 
 DEEP_JSON = b"[" * NESTING + b"]" * NESTING
-DEEP_MSGPACK = b"\x91" * MAX_ROW_VALUE_BYTES + b"\xc0"
+DEEP_MSGPACK = b"\x91" * NESTING + b"\xc0"
 
 ODD_JSON = {
     "deep": DEEP_JSON,
@@ -43,12 +43,18 @@
     "1e308": msgspec.msgpack.encode(1e308),
     "nil": b"\xc0",
     "bad text": b"\xa1\xff",
-    "long text": msgspec.msgpack.encode("x" * MAX_ROW_VALUE_BYTES),
+    "long text": msgspec.msgpack.encode("x" * 300_000),
     "list": b"\x91\x91\x01",
     "extension": b"\xc7\x0c\xff" + b"\xff" * 12,
 }
 """MessagePack values by their names."""
 
+SHORTENED = {
+    "deep": lambda size: b"\x91" * (size - 1) + b"\xc0",
+    "long text": lambda size: msgspec.msgpack.encode("x" * (size - 5)),
+}
+"""The long ones of these values, with at most a number of bytes."""
+
 
 def json_variants(document: dict) -> dict[str, bytes]:
     """Return a document once for each field and odd value; the names say which.
@@ -75,6 +81,21 @@
     return variants
 
 
+def row_variants(document: dict) -> dict[str, bytes]:
+    """Return the same as rows of the store: as deep and as long as a row may be."""
+    variants = {}
+    for name, content in msgpack_variants(document).items():
+        where, odd = name.split(" = ")
+        excess = max(0, len(content) - ROW_BYTES)
+        if excess:
+            path = tuple(int(p) if p.isdigit() else p for p in where.split("."))
+            value = SHORTENED[odd](len(ODD_MSGPACK[odd]) - excess)
+            changed = replaced(document, path, msgspec.Raw(value))
+            content = msgspec.msgpack.encode(changed)
+        variants[name] = content
+    return variants
+
+
 def paths_of(value, path: tuple = ()) -> list[tuple]:
     """Return the paths of all values inside a document, and of an unknown field."""
     match value:
--- a/bergamotcourse/tests/platform/soak/odd_entries.py
+++ b/bergamotcourse/tests/platform/soak/odd_entries.py
@@ -7,7 +7,7 @@
 import msgspec
 
 from bergamotcourse.tests.platform.cluster import make_job, send_request
-from bergamotcourse.tests.platform.odd_values import json_variants, msgpack_variants
+from bergamotcourse.tests.platform.odd_values import json_variants, row_variants
 from bergamotcourse.tests.platform.soak.proxied_cluster import ProxiedCluster
 from bergamotcourse.tests.platform.soak.records import Records
 from bergamotcourse.tests.platform.test_store import REPORT
@@ -21,7 +21,7 @@
 
 ROW_VALUES = tuple(
     base64.b64encode(value).decode()
-    for value in msgpack_variants(msgspec.to_builtins(REPORT)).values()
+    for value in row_variants(msgspec.to_builtins(REPORT)).values()
 )
 SMALL_VALUE = min(ROW_VALUES, key=len)
 OTHER_VALUES = ("", "not base64", "e30=", "////")
--- a/bergamotcourse/tests/platform/soak/test_odd_entries.py
+++ b/bergamotcourse/tests/platform/soak/test_odd_entries.py
@@ -7,6 +7,7 @@
 import pytest
 
 from bergamotcourse.tests.platform.cluster import Node
+from bergamotcourse.tests.platform.odd_values import ROW_BYTES
 from bergamotcourse.tests.platform.soak.odd_entries import LISTS, OddEntries
 from bergamotcourse.tests.platform.soak.records import Records
 from bergamotcourse.tests.platform.standins import StoreStandIn
@@ -38,4 +39,4 @@
         sizes = [
             len(value) for (name, _), (value, _) in rows.rows.items() if name == table
         ]
-        assert 200_000 < max(sizes) < sum(sizes) < MAX_ANSWER_BYTES
+        assert ROW_BYTES < max(sizes) < sum(sizes) < MAX_ANSWER_BYTES
--- a/bergamotcourse/tests/platform/test_odd_entries.py
+++ b/bergamotcourse/tests/platform/test_odd_entries.py
@@ -6,7 +6,7 @@
 import trio
 
 from bergamotcourse.tests.platform.cluster import send_request, submit_job
-from bergamotcourse.tests.platform.odd_values import json_variants, msgpack_variants
+from bergamotcourse.tests.platform.odd_values import json_variants, row_variants
 from bergamotcourse.tests.platform.test_processes import running_cluster
 from bergamotcourse.tests.platform.test_store import REPORT
 from bergamotcourse.transport.http import HttpRequest
@@ -26,7 +26,7 @@
 
 def write_odd_rows(cluster, own_keys):
     """Write each variant of a report, some under the keys of running agents."""
-    variants = msgpack_variants(msgspec.to_builtins(REPORT))
+    variants = row_variants(msgspec.to_builtins(REPORT))
     keys = own_keys + [f"udp://127.1.1.{n % 250}:{n + 1}" for n in range(len(variants))]
     ordered = sorted(variants.items(), key=lambda item: "unknown = deep" not in item[0])
     put = []
