Ask only peers that have greeted this entry, within the caller's time

A row of the store with an address of nobody counted as a peer for 5 s whenever it was learned, so a DELETE of a job elsewhere was answered 503. A deadline of less than the margin raised an error.

--- a/bergamotcourse/coordination/jobs/peers.py
+++ b/bergamotcourse/coordination/jobs/peers.py
@@ -178,12 +178,15 @@
             self.peers[address].from_settings |= from_settings
 
     def heard_lately(self) -> list[LinkAddress]:
-        """Return the peers that may have jobs, as they do not seem to be gone."""
+        """Return the peers that may have jobs, as they do not seem to be gone.
+
+        An address that was only read from the store may be nobody's.
+        """
         now = self.timers.now()
         return [
             address
             for address, peer in self.peers.items()
-            if now - peer.heard_at <= PEER_SILENCE_SECONDS
+            if now - peer.greeted_at <= PEER_SILENCE_SECONDS
         ]
 
     def handle_message(self, sender: LinkAddress, message: Message) -> None:
--- a/bergamotcourse/platform/callers.py
+++ b/bergamotcourse/platform/callers.py
@@ -64,7 +64,7 @@
     async def _look_up(
         self, request: HttpRequest, queue: JobQueue, job_id: JobId
     ) -> HttpResponse:
-        seconds = caller_deadline_seconds(request) - RESPONSE_MARGIN_SECONDS
+        seconds = max(0.0, caller_deadline_seconds(request) - RESPONSE_MARGIN_SECONDS)
         if request.method == "GET":
             return state_response(await self.service.state(job_id, queue, seconds))
         return cancel_response(await self.service.cancel(job_id, queue, seconds))
