Add a soak of jobs that come again or are cancelled elsewhere

Callers saw 503 or 504 for a job that had been answered 200 and came again, its tasks ran again, and a DELETE at an entry that didn't have the job was answered 410 while the job ran on. No variant of the soak did either.

The new checks: a job keeps its state and starts nothing when it comes again; after an acknowledged cancellation (200, or 410 for a job that was there) nothing starts or runs on 3 s later, and no call that waited is told of success. Only an entry that cannot know is excused: one whose process began later, or, of another entry's answer, a pause, end or start of one of the two around it.

find_cancelled_starts excused jobs that another entry had, and each disruption of the entry. find_cancelled_work takes its place, and excuses neither faults of connections nor pauses of the entry that acknowledged. It excuses a planned restart of that entry, as its description did before.

--- a/bergamotcourse/tests/platform/soak/__main__.py
+++ b/bergamotcourse/tests/platform/soak/__main__.py
@@ -51,6 +51,11 @@
 @click.option(
     "--odd-entries", is_flag=True, help="Write rows and send reports of no use."
 )
+@click.option(
+    "--resubmits",
+    is_flag=True,
+    help="Submit jobs again after their answer, and cancel them at other entries.",
+)
 @click.option("--entries", default=2, help="Number of entries.")
 @click.option("--agents", default=3, help="Number of agents.")
 @click.option(
@@ -75,6 +80,7 @@
     changes_kinds: bool,
     cancels: bool,
     odd_entries: bool,
+    resubmits: bool,
     entries: int,
     agents: int,
     keep: Path | None,
@@ -99,6 +105,7 @@
             changes_kinds,
             cancels,
             odd_entries,
+            resubmits,
             entries,
             agents,
         )
--- a/bergamotcourse/tests/platform/soak/callers.py
+++ b/bergamotcourse/tests/platform/soak/callers.py
@@ -17,6 +17,7 @@
     Records,
     Variant,
 )
+from bergamotcourse.tests.platform.soak.repeated_calls import RepeatedCalls
 from bergamotcourse.tests.platform.soak.responses import classify_response
 from bergamotcourse.transport.http_client import HttpClient
 
@@ -36,6 +37,17 @@
 """Task lengths where entries are killed together with agents, or wake after callers
 have left. Short runs rarely overlap with those that a retry starts."""
 
+CANCELLED_SHARE = 0.2
+CANCELLED_LONG_SHARE = 0.8
+"""Share of the attempts that are cancelled where callers repeat jobs, of the jobs with
+long tasks too."""
+
+LONG_TASK_FROM_SECONDS = 4.0
+
+BURST_INTERVAL_SECONDS = (1.0, 3.0)
+BURST_JOBS_PER_AGENT = 6
+
+ANSWERED_OUTCOMES = (CallerOutcome.SUCCEEDED, CallerOutcome.FAILED)
 INTERRUPTED_OUTCOMES = frozenset((CallerOutcome.CUT, CallerOutcome.NOT_SENT))
 
 
@@ -55,6 +67,8 @@
         labels: The labels of which each job requires one.
         interference_share: Share of the attempts beside which the caller makes another
             call for the job, or leaves.
+        repeats: Whether callers submit jobs again after their answer, and cancel them
+            at any entry, while bursts of jobs fill all room.
     """
 
     per_entry: int = 4
@@ -67,6 +81,7 @@
     estimate: float | None = None
     labels: tuple[str, ...] = ("",)
     interference_share: float = 0.0
+    repeats: bool = False
 
 
 IMPATIENT = Habits(
@@ -107,13 +122,21 @@
 CANCELLING = Habits(timeout=2.0, interference_share=0.6)
 """Habits where callers cancel jobs, leave, and submit them again."""
 
+REPEATING = Habits(timeout=8.0, max_tasks=3, task_seconds=(*SHORT_TASK_SECONDS, 6.0))
+"""Habits where callers submit jobs again after their answer. Some tasks last longer
+than the time after which a cancelled job must have ended."""
+
 REQUIRING = Habits(per_entry=8, task_seconds=SHORT_TASK_SECONDS)
 """Habits where workers change their kind: many placements are always on their way."""
 
 
+BURST = Habits(timeout=2.0, max_tasks=3, task_seconds=(1.0,), repeats=True)
+"""Habits of the callers of a burst."""
+
+
 def habits_in(variant: Variant) -> Habits:
     """Return the habits of the callers in a variant of the soak."""
-    habits = timing_habits_in(variant)
+    habits = replace(timing_habits_in(variant), repeats=variant.resubmits)
     return replace(habits, labels=KIND_LABELS) if variant.changes_kinds else habits
 
 
@@ -129,6 +152,8 @@
         return REQUIRING
     if variant.cancels:
         return CANCELLING
+    if variant.resubmits:
+        return REPEATING
     patient = PATIENT_CALLER_TIMEOUT_SECONDS
     return Habits(
         timeout=patient if variant.delays_orders else CALLER_TIMEOUT_SECONDS,
@@ -164,18 +189,32 @@
         async with trio.open_nursery() as nursery:
             for _ in range(count):
                 rng = random.Random(self.rng.getrandbits(64))
-                nursery.start_soon(Caller(self, rng).run)
+                nursery.start_soon(Caller(self, rng, nursery).run)
+            if self.habits.repeats:
+                rng = random.Random(self.rng.getrandbits(64))
+                nursery.start_soon(self._submit_bursts, rng, nursery)
+
+    async def _submit_bursts(self, rng: random.Random, nursery: trio.Nursery) -> None:
+        """Submit more jobs at once than there is room for, again and again."""
+        while not self.stopping:
+            await trio.sleep(rng.uniform(*BURST_INTERVAL_SECONDS))
+            for _ in range(BURST_JOBS_PER_AGENT * len(self.cluster.workers)):
+                caller = Caller(self, random.Random(rng.getrandbits(64)), nursery)
+                caller.habits = BURST
+                nursery.start_soon(caller.run_once)
 
 
 class Caller:
     """One caller, which uses the same entry as long as its connection is open."""
 
-    def __init__(self, callers: Callers, rng: random.Random):
+    def __init__(self, callers: Callers, rng: random.Random, nursery: trio.Nursery):
+        self.repeated = RepeatedCalls(callers.cluster, callers.records, rng, nursery)
         self.callers = callers
         self.habits = callers.habits
         self.records = callers.records
         self.rng = rng
         self.entry = ""
+        self.cancelled_share = 0.0
         self.last_outcome: CallerOutcome | None = None
         self.client: HttpClient | None = None
 
@@ -186,11 +225,22 @@
             await self._submit_job(next(self.callers.numbers))
             if self.last_outcome is CallerOutcome.REFUSED:
                 await trio.sleep(self.habits.refusal_pause)
+            await self._submit_earlier_job()
             share = self.habits.reconnect_share
             if share and self.rng.random() < share:
                 await self._disconnect()
         await self._disconnect()
 
+    async def run_once(self) -> None:
+        """Submit one job."""
+        await self._submit_job(next(self.callers.numbers))
+        await self._disconnect()
+
+    async def _submit_earlier_job(self) -> None:
+        """Submit a job again that was answered, on the open connection."""
+        if self.habits.repeats and (earlier := self.repeated.take_due()):
+            await self._attempt(*earlier)
+
     async def _submit_job(self, number: int) -> None:
         work = self.rng.choice(self.habits.task_seconds)
         tasks = self.rng.randint(1, self.habits.max_tasks)
@@ -205,11 +255,15 @@
             estimate=self.habits.estimate,
         )
         job = request.target.rpartition("/")[2]
+        is_long = work >= LONG_TASK_FROM_SECONDS
+        self.cancelled_share = CANCELLED_LONG_SHARE if is_long else CANCELLED_SHARE
         self.records.tasks[job] = tasks
         if label:
             self.records.labels[job] = label
         for _ in range(MAX_ATTEMPTS):
             outcome = await self._attempt(job, request)
+            if self.habits.repeats and outcome in ANSWERED_OUTCOMES:
+                self.repeated.plan(job, request)
             if outcome not in self.habits.retried_outcomes:
                 return
             await trio.sleep(RESEND_SECONDS)
@@ -232,6 +286,8 @@
         return outcome
 
     async def _send(self, job, request) -> CallerOutcome:
+        if self.habits.repeats and self.rng.random() < self.cancelled_share:
+            self.repeated.cancel_beside(job, request, self.entry)
         if self.rng.random() >= self.habits.interference_share:
             return await self._call(job, request)
         beside = OtherCalls(
--- a/bergamotcourse/tests/platform/soak/faults.py
+++ b/bergamotcourse/tests/platform/soak/faults.py
@@ -1,5 +1,6 @@
 """Faults injected from outside, in overlapping sequences drawn from a seed."""
 
+import math
 import random
 import signal
 from contextlib import AsyncExitStack, asynccontextmanager
@@ -15,6 +16,7 @@
     DEFAULT_VARIANT,
     KIND_LABELS,
     RACK_LABEL,
+    Absence,
     Disruption,
     Evacuation,
     Records,
@@ -186,12 +188,27 @@
                 Disruption(entry, begun_at, ended_at, holds_bytes)
             )
 
+    @asynccontextmanager
+    async def _record_absence(self, *nodes: Node, replaced: bool = True):
+        """Record a time in which processes are paused, or end and are replaced."""
+        begun_at = trio.current_time()
+        try:
+            yield
+        finally:
+            ended_at = trio.current_time()
+            self.records.absences += [
+                Absence(node.name, begun_at, ended_at, replaced) for node in nodes
+            ]
+
     # Processes.
 
     async def _kill(self, rng: random.Random) -> None:
         async with self._reserve_process(rng) as node:
             if node is not None:
-                async with self._record_disruption(node.name):
+                async with (
+                    self._record_disruption(node.name),
+                    self._record_absence(node),
+                ):
                     node.kill()
                     await self._restart(node, rng)
 
@@ -221,6 +238,7 @@
     async def _kill_and_restart_all(self, names: list[str], rng: random.Random) -> None:
         nodes = [self.cluster.nodes[name] for name in names]
         async with AsyncExitStack() as stack:
+            await stack.enter_async_context(self._record_absence(*nodes))
             for node in nodes:
                 await stack.enter_async_context(self._record_disruption(node.name))
                 node.process.kill()
@@ -244,7 +262,10 @@
             share = rng.uniform(*THROTTLED_SHARE)
             begun_at = trio.current_time()
             ends_at = begun_at + rng.uniform(*THROTTLE_SECONDS)
-            async with self._record_disruption(node.name):
+            async with (
+                self._record_disruption(node.name),
+                self._record_absence(node, replaced=False),
+            ):
                 while trio.current_time() < ends_at:
                     node.send_signal(signal.SIGSTOP)
                     await trio.sleep((1 - share) * THROTTLE_PERIOD_SECONDS)
@@ -267,7 +288,10 @@
     @asynccontextmanager
     async def _freeze(self, node: Node):
         """Keep a process paused meanwhile."""
-        async with self._record_disruption(node.name):
+        async with (
+            self._record_disruption(node.name),
+            self._record_absence(node, replaced=False),
+        ):
             node.send_signal(signal.SIGSTOP)
             try:
                 yield
@@ -277,24 +301,28 @@
     async def _stop(self, rng: random.Random) -> None:
         async with self._reserve_process(rng) as node:
             if node is not None:
-                node.send_signal(signal.SIGTERM)
-                await self._wait_for_stop_or_kill(node)
-                await self._restart(node, rng)
+                async with self._record_absence(node):
+                    node.send_signal(signal.SIGTERM)
+                    await self._wait_for_stop_or_kill(node)
+                    await self._restart(node, rng)
 
     async def _signal_in_series(self, rng: random.Random) -> None:
         """Send overlapping signals: a stop during a reload, a pause or a kill."""
         async with self._reserve_process(rng) as node:
             if node is None:
                 return
+            stopped_at = math.inf
             for _ in range(rng.randint(2, 5)):
                 match rng.randrange(4):
                     case 0:
+                        stopped_at = min(stopped_at, trio.current_time())
                         node.send_signal(signal.SIGTERM)
                     case 1 | 2:
                         node.send_signal(signal.SIGHUP)
                     case 3:
                         await self._pause_node(node, rng, FAULT_SECONDS)
                 await trio.sleep(rng.uniform(0.0, 0.7))
+            stopped_at = min(stopped_at, trio.current_time())
             if rng.random() < 0.3:
                 async with self._record_disruption(node.name):
                     node.kill()
@@ -302,6 +330,10 @@
                 node.send_signal(signal.SIGTERM)
             await self._wait_for_stop_or_kill(node)
             await self._restart(node, rng)
+            started_at = trio.current_time()
+            self.records.absences.append(
+                Absence(node.name, stopped_at, started_at, replaced=True)
+            )
 
     async def _wait_for_stop_or_kill(self, node: Node) -> None:
         with trio.move_on_after(STOP_TIMEOUT_SECONDS):
--- a/bergamotcourse/tests/platform/soak/records.py
+++ b/bergamotcourse/tests/platform/soak/records.py
@@ -49,6 +49,7 @@
 
     Attributes:
         acknowledged: Whether it was answered with success.
+        gone: Whether it was answered that no such job exists.
     """
 
     job: str
@@ -56,6 +57,21 @@
     sent_at: float
     ended_at: float
     acknowledged: bool
+    gone: bool = False
+
+
+@dataclass(frozen=True)
+class Absence:
+    """A period in which an entry's process is paused, or ends and is replaced.
+
+    Attributes:
+        replaced: Whether another process began at the end of the period.
+    """
+
+    entry: str
+    begun_at: float
+    ended_at: float
+    replaced: bool
 
 
 @dataclass(frozen=True)
@@ -101,6 +117,9 @@
             another connection, and wait for one job with several calls.
         odd_entries: Other programs write rows that cannot be used, and send reports and
             requests that cannot.
+        resubmits: Callers submit jobs again after their answer, to any entry, and
+            cancel jobs at entries that do not have them, also while bursts of jobs
+            fill all room.
         entries: Number of entries.
         agents: Number of agents.
     """
@@ -119,6 +138,7 @@
     changes_kinds: bool = False
     cancels: bool = False
     odd_entries: bool = False
+    resubmits: bool = False
     entries: int = 2
     agents: int = 3
 
@@ -161,6 +181,7 @@
     attempts: list[Attempt] = field(default_factory=list)
     cancellations: list[Cancellation] = field(default_factory=list)
     disruptions: list[Disruption] = field(default_factory=list)
+    absences: list[Absence] = field(default_factory=list)
     throttles: list[Throttle] = field(default_factory=list)
     faults: dict[str, int] = field(default_factory=dict)
     tasks: dict[str, int] = field(default_factory=dict)
--- a/bergamotcourse/tests/platform/soak/test_soak.py
+++ b/bergamotcourse/tests/platform/soak/test_soak.py
@@ -99,3 +99,10 @@
     def test_no_violations_when_others_leave_odd_entries(self, seed, tmp_path):
         variant = Variant(odd_entries=True)
         assert_no_violations(seed, 8.0, tmp_path, variant, "leave_odd_entries")
+
+    @pytest.mark.parametrize("seed", [1, 2])
+    def test_no_violations_when_jobs_come_again_or_are_cancelled_elsewhere(
+        self, seed, tmp_path
+    ):
+        variant = Variant(resubmits=True)
+        assert_no_violations(seed, 6.0, tmp_path, variant, "cancel elsewhere")
--- a/bergamotcourse/tests/platform/soak/test_verdict.py
+++ b/bergamotcourse/tests/platform/soak/test_verdict.py
@@ -9,6 +9,7 @@
 from bergamotcourse.state.resources import Resources
 from bergamotcourse.tests.platform.cluster import MAX_TASK_ATTEMPTS, Node
 from bergamotcourse.tests.platform.soak.records import (
+    Absence,
     Attempt,
     CallerOutcome,
     Cancellation,
@@ -18,12 +19,17 @@
     StoreOutage,
     Throttle,
 )
+from bergamotcourse.tests.platform.soak.repeats import (
+    MAX_CANCELLATION_SECONDS,
+    find_cancelled_successes,
+    find_cancelled_work,
+    find_forgotten_answers,
+    find_repeated_starts,
+)
 from bergamotcourse.tests.platform.soak.responses import read_state
 from bergamotcourse.tests.platform.soak.verdict import (
-    MAX_CANCELLATION_SECONDS,
     MIN_JUDGED_ATTEMPTS,
     find_abandoned_starts,
-    find_cancelled_starts,
     find_crashes,
     find_false_returns,
     find_lasting_overloads,
@@ -309,17 +315,17 @@
         assert bool(find_violations(records, [])) == found
 
     @pytest.mark.parametrize(
-        "after, acknowledged, elsewhere, disrupted, found",
+        "after, acknowledged, elsewhere, restarted, found",
         [
             (1.0, True, False, False, True),
             (-0.5, True, False, False, False),
             (1.0, False, False, False, False),
-            (1.0, True, True, False, False),
+            (1.0, True, True, False, True),
             (1.0, True, False, True, False),
         ],
     )
     def test_late_start_is_reported(
-        self, after, acknowledged, elsewhere, disrupted, found
+        self, after, acknowledged, elsewhere, restarted, found
     ):
         records = make_records(CallerOutcome.FAILED)
         cancellation = make_cancellation(1.0, acknowledged)
@@ -327,11 +333,88 @@
         if elsewhere:
             attempt = Attempt(JOB, "entry-2", 1.0, 2.0, CallerOutcome.SUCCEEDED)
             records.attempts.append(attempt)
-        if disrupted:
-            records.disruptions.append(Disruption("entry-1", 1.5, 2.0))
+        if restarted:
+            records.absences.append(Absence("entry-1", 1.5, 2.0, True))
         started_at = cancellation.ended_at + MAX_CANCELLATION_SECONDS + after
         runs = [make_run(1, started_at, started_at + 0.1)]
-        assert bool(find_cancelled_starts(records, runs)) == found
+        assert bool(find_cancelled_work(records, runs)) == found
+
+    @pytest.mark.parametrize("ended_at, found", [(3.9, 0), (4.2, 1), (None, 1)])
+    def test_run_that_goes_on_is_reported(self, ended_at, found):
+        records = make_records(CallerOutcome.FAILED)
+        records.cancellations.append(make_cancellation(1.0))
+        runs = [make_run(1, 0.5, ended_at)]
+        assert len(find_cancelled_work(records, runs)) == found
+
+    @pytest.mark.parametrize("sent_at, found", [(1.0, 1), (0.05, 0), (4.0, 0)])
+    def test_job_called_gone_is_judged_if_a_call_waited(self, sent_at, found):
+        records = make_records(CallerOutcome.TIMED_OUT)
+        gone = Cancellation(JOB, "entry-2", sent_at, sent_at + 0.1, False, gone=True)
+        records.cancellations.append(gone)
+        assert len(find_cancelled_work(records, [make_run(1, 8.0, 9.0)])) == found
+
+    @pytest.mark.parametrize("ended_at, found", [(4.0, 0), (4.2, 1)])
+    def test_late_success_of_waiting_call_is_reported(self, ended_at, found):
+        call = Attempt(JOB, "entry-1", 0.0, ended_at, CallerOutcome.SUCCEEDED)
+        records = Records(attempts=[call], cancellations=[make_cancellation(1.0)])
+        assert len(find_cancelled_successes(records, [])) == found
+
+
+class TestRepeatedJobs:
+    """A job that entry 1 answered at 3 s comes again to some entry at 5 s."""
+
+    def make_records(self, entry, outcome, absences=()):
+        records = make_records(CallerOutcome.SUCCEEDED)
+        records.attempts.append(Attempt(JOB, entry, 5.0, 6.0, outcome))
+        records.absences = list(absences)
+        return records
+
+    @pytest.mark.parametrize("entry", ["entry-1", "entry-2"])
+    @pytest.mark.parametrize(
+        "outcome, found",
+        [
+            (CallerOutcome.SUCCEEDED, 0),
+            (CallerOutcome.FAILED, 1),
+            (CallerOutcome.REFUSED, 1),
+            (CallerOutcome.TIMED_OUT, 1),
+            (CallerOutcome.UNEXPECTED_STATUS, 1),
+            (CallerOutcome.CUT, 0),
+        ],
+    )
+    def test_contradicting_answer_is_reported(self, entry, outcome, found):
+        records = self.make_records(entry, outcome)
+        assert len(find_forgotten_answers(records)) == found
+
+    @pytest.mark.parametrize("started_at, found", [(4.9, 0), (5.1, 1), (6.1, 0)])
+    def test_start_as_the_job_comes_again_is_reported(self, started_at, found):
+        records = self.make_records("entry-2", CallerOutcome.SUCCEEDED)
+        runs = [make_run(1, 0.0, 1.0), make_run(2, started_at, 7.0)]
+        assert len(find_repeated_starts(records, runs)) == found
+
+    @pytest.mark.parametrize(
+        "entry, absence, found",
+        [
+            ("entry-1", Absence("entry-1", 3.5, 4.5, True), 0),
+            ("entry-1", Absence("entry-1", 2.5, 4.5, False), 1),
+            ("entry-1", Absence("entry-1", 5.5, 7.0, True), 1),
+            ("entry-1", Absence("entry-2", 3.5, 4.5, True), 1),
+            ("entry-2", Absence("entry-1", 3.5, 4.5, True), 0),
+            ("entry-2", Absence("entry-1", 4.1, 4.5, True), 1),
+            ("entry-2", Absence("entry-2", 4.1, 4.5, True), 0),
+            ("entry-2", Absence("entry-2", 3.5, 4.5, False), 0),
+            ("entry-2", Absence("entry-2", 4.1, 4.5, False), 1),
+            ("entry-2", Absence("entry-3", 3.5, 4.5, True), 1),
+        ],
+    )
+    def test_entry_that_cannot_know_is_excused(self, entry, absence, found):
+        records = self.make_records(entry, CallerOutcome.REFUSED, [absence])
+        assert len(find_forgotten_answers(records)) == found
+
+    def test_call_within_a_second_of_the_answer_is_not_judged(self):
+        records = make_records(CallerOutcome.SUCCEEDED)
+        again = Attempt(JOB, "entry-2", 3.9, 4.5, CallerOutcome.REFUSED)
+        records.attempts.append(again)
+        assert find_forgotten_answers(records) == []
 
 
 class TestCrashes:
--- a/bergamotcourse/tests/platform/soak/verdict.py
+++ b/bergamotcourse/tests/platform/soak/verdict.py
@@ -12,12 +12,17 @@
 from bergamotcourse.tests.platform.soak.records import (
     Attempt,
     CallerOutcome,
-    Cancellation,
     Disruption,
     Evacuation,
     Records,
     Throttle,
 )
+from bergamotcourse.tests.platform.soak.repeats import (
+    find_cancelled_successes,
+    find_cancelled_work,
+    find_forgotten_answers,
+    find_repeated_starts,
+)
 
 MAX_EVACUATION_DELAY_SECONDS = 5.0
 """Longest time from the evacuation of a zone until nothing starts in it."""
@@ -42,9 +47,6 @@
 
 LEFT_OUTCOMES = (CallerOutcome.CUT, CallerOutcome.NO_RESPONSE, CallerOutcome.LEFT)
 
-MAX_CANCELLATION_SECONDS = 3.0
-"""Longest time from the answer to a cancellation until nothing starts for its job."""
-
 BEGUN_CALL_EVENTS = ("job.taken", "job.joined", "job.ended_before")
 
 ORDERED_EXIT_CODES = (0, -signal.SIGKILL, -signal.SIGTERM)
@@ -66,7 +68,10 @@
         *find_false_successes(records, history),
         *find_false_failures(records, history),
         *find_unreadable_answers(records.attempts),
-        *find_cancelled_starts(records, history),
+        *find_cancelled_work(records, history),
+        *find_cancelled_successes(records, history),
+        *find_forgotten_answers(records),
+        *find_repeated_starts(records, history),
         *find_unsubmitted_jobs(records, history),
         *find_abandoned_starts(records, history),
         *find_late_starts(history),
@@ -122,38 +127,6 @@
     ]
 
 
-def find_cancelled_starts(records: Records, history: list[Run]) -> list[str]:
-    """Return the runs that started too long after their job was cancelled.
-
-    A cancellation is known to the entry that acknowledged it, until that restarts. So
-    only jobs are judged of which no other entry has ever heard.
-    """
-    lines = []
-    for one in records.cancellations:
-        if not one.acknowledged or is_job_elsewhere(records, one):
-            continue
-        until = math.inf
-        for disruption in records.disruptions:
-            if disruption.entry == one.entry and disruption.ended_at > one.sent_at:
-                until = min(until, disruption.begun_at)
-        lines += [
-            f"started {run.started_at - one.ended_at:.3f} s after its job was "
-            f"cancelled: {run.key.task}"
-            for run in history
-            if job_id_of_task(run.key.task) == one.job
-            and one.ended_at + MAX_CANCELLATION_SECONDS < run.started_at < until
-        ]
-    return lines
-
-
-def is_job_elsewhere(records: Records, cancellation: Cancellation) -> bool:
-    """Return whether a cancelled job was submitted to another entry too."""
-    return any(
-        one.job == cancellation.job and one.entry != cancellation.entry
-        for one in records.attempts
-    )
-
-
 def find_crashes(nodes: Iterable[Node]) -> list[str]:
     """Return the processes that ended without a signal to do so."""
     lines = []
