Test that a cancelled job's state is shown after its caller's answer

After a cancellation the job's caller is answered 200 with the state failed, and a GET is then answered 410 by all entries: job records forget a cancelled job with its last caller. The protocol shows cancelled jobs for some time.

--- a/bergamotcourse/tests/jobs/test_callers_protocol.py
+++ b/bergamotcourse/tests/jobs/test_callers_protocol.py
@@ -119,6 +119,11 @@
 
 
 class TestStateOfCancelledJob:
+    def test_is_shown_after_the_answer_to_its_caller(self):
+        calls = calls_of([Submit(1, 1), Wait(0.05), Cancel(1, 1), Wait(1.5), Ask(1, 1)])
+        assert [call.status for call in calls] == [200, 200, 200]
+        assert calls[-1].state in ("cancelled", "failed")
+
     def test_job_that_nobody_submitted_is_not_shown(self):
         cancel, ask = calls_of([Cancel(1, 1), Wait(1.5), Ask(1, 1)])
         assert (cancel.status, ask.status) == (410, 410)
