Keep the state of a cancelled job, and acknowledge its cancellation again

What callers saw: after a cancellation and the answer to the waiting call, GET was answered 410, "no such job", and so was a repeated DELETE; a DELETE whose first answer from another entry was lost got 410 for the job that it had cancelled.

Cause: a cancellation was remembered without whether its job was there, so that jobs that nobody submitted could not be told apart, and none was shown.

Evidence: test_is_shown_after_the_answer_to_its_caller, of the fuzzed protocol, failed with 410; test_that_is_repeated_is_acknowledged_again fails without this.

A cancellation of an unknown job still shows no job. One that comes after a job's success, while its calls end, is not remembered.

--- a/bergamotcourse/coordination/jobs/job_dispatcher.py
+++ b/bergamotcourse/coordination/jobs/job_dispatcher.py
@@ -203,14 +203,17 @@
         return answer
 
     def cancel(self, key: JobKey) -> bool:
-        """Cancel a job, also one that has yet to come; return false if it is not known.
+        """Cancel a job, also one that has yet to come.
 
         A job that has succeeded or failed is not cancelled.
+
+        Returns:
+            Whether the job has callers here, or had some when it was cancelled before.
         """
         self.records.record_cancellation(key)
         job = self.records.find(key)
         if job is None:
-            return False
+            return self.records.is_cancelled_here(key)
         job.finish(JobOutcome.CANCELLED, CANCELLED_WHY)
         self._withdraw_tasks(job)
         return True
--- a/bergamotcourse/coordination/jobs/job_records.py
+++ b/bergamotcourse/coordination/jobs/job_records.py
@@ -50,6 +50,10 @@
         """Return whether a caller has cancelled a job lately."""
         return self.cancellations.contains(key, self.timers.now())
 
+    def is_cancelled_here(self, key: JobKey) -> bool:
+        """Return whether a job that had callers here was cancelled lately."""
+        return self.cancellations.contains_known(key, self.timers.now())
+
     def is_known(self, key: JobKey) -> bool:
         """Return whether a job was admitted, has ended or was cancelled."""
         return key.id in self.jobs or self.has_ended(key) or self.is_cancelled(key)
@@ -72,7 +76,7 @@
         """
         job = self.find(key)
         if job is None:
-            return self._ended_state(key)
+            return self._former_state(key)
         match job.outcome:
             case None:
                 return JobState.RUNNING if job.may_have_run else JobState.QUEUED
@@ -85,17 +89,17 @@
             case _:
                 return None
 
-    def _ended_state(self, key: JobKey) -> JobState | None:
+    def _former_state(self, key: JobKey) -> JobState | None:
         ended = self.ended.find(key.digest(), self.timers.now())
-        if ended is None:
-            return None
-        return JobState.SUCCEEDED if ended.succeeded else JobState.FAILED
+        if ended is not None:
+            return JobState.SUCCEEDED if ended.succeeded else JobState.FAILED
+        return JobState.CANCELLED if self.is_cancelled_here(key) else None
 
     def remove(self, job: JobRun) -> None:
         """Remove a job that has no callers left, and remember its outcome."""
         if self.jobs.get(job.spec.id) is job:
             del self.jobs[job.spec.id]
-        if job.outcome in (JobOutcome.SUCCEEDED, JobOutcome.FAILED):
+        if job.has_ended:
             succeeded = job.outcome is JobOutcome.SUCCEEDED
             ended = EndedJob(job.key.digest(), job.spec.digest(), succeeded)
             self.ended.add(ended, self.timers.now())
@@ -103,8 +107,11 @@
 
     def record_cancellation(self, key: JobKey) -> None:
         """Remember that a job was cancelled, unless it had ended before."""
-        if not self.has_ended(key):
-            self.cancellations.add(key, self.timers.now())
+        job = self.find(key)
+        if job is not None and job.has_ended:
+            return
+        if job is not None or not self.has_ended(key):
+            self.cancellations.add(key, self.timers.now(), is_known=job is not None)
 
 
 def _ignore(_job: EndedJob) -> None:
--- a/bergamotcourse/coordination/jobs/job_run.py
+++ b/bergamotcourse/coordination/jobs/job_run.py
@@ -172,6 +172,11 @@
         """Return the key of the job."""
         return self.queue.key(self.spec.id)
 
+    @property
+    def has_ended(self) -> bool:
+        """Return whether the job has succeeded or failed."""
+        return self.outcome in (JobOutcome.SUCCEEDED, JobOutcome.FAILED)
+
     @property
     def may_have_run(self) -> bool:
         """Return whether a task may have started."""
