Ask peers until they expire, and tell them of cancellations after a job's end

Cause: silence of a peer was taken for its end, by the rule of agents, which are on other links; and an entry that knew a job as ended told nobody of its cancellation.

Fix: peers are asked until they expire, new ones for 5 s until they greet; cancellations go out with the announcements, twice, in place of queries whose answers nobody awaited. The fuzz test moves to the tests of the adapter, whose names it uses.

--- a/bergamotcourse/coordination/jobs/job_service.py
+++ b/bergamotcourse/coordination/jobs/job_service.py
@@ -175,11 +175,12 @@
         """
         key = queue.key(job_id)
         is_known = self.jobs.cancel(key)
-        if self.peer_jobs is None or self.jobs.records.has_ended(key):
+        if self.peer_jobs is None:
             return Ok(is_known)
-        if is_known:
+        if is_known or self.jobs.records.has_ended(key):
+            # An entry that has not learned of its end may be running it again.
             self.peer_jobs.tell_cancelled(key)
-            return Ok(True)
+            return Ok(is_known)
         found = await self.peer_jobs.ask(key, True, seconds)
         return found.map(lambda state: state is JobState.CANCELLED)
 
--- a/bergamotcourse/coordination/jobs/peer_jobs.py
+++ b/bergamotcourse/coordination/jobs/peer_jobs.py
@@ -6,6 +6,7 @@
 
 from collections.abc import Callable
 from dataclasses import dataclass, field
+from typing import Generic, TypeVar
 
 import trio
 from expression import Error, Ok, Result
@@ -23,11 +24,13 @@
 )
 from bergamotcourse.state.job_spec import JobKey, JobState
 
+T = TypeVar("T")
+
 ANNOUNCEMENT_INTERVAL_SECONDS = 0.4
 """Interval of the announcements. Callers submit a job again seconds after its end."""
 
 MAX_ANNOUNCED_JOBS = 1000
-"""Most jobs in an announcement, which has about 16 bytes for each."""
+"""Most ended and most cancelled jobs that are announced at a time."""
 
 ATTEMPT_SECONDS = 0.25
 """Time after which a peer that has not answered is asked again."""
@@ -68,15 +71,42 @@
         return Ok(self.state)
 
 
+class Announcements(Generic[T]):
+    """Items that are told to the peers, each twice, as a datagram may be lost.
+
+    Attributes:
+        name: What they are, for the log.
+        new: Items that have not been told yet.
+        repeated: Items that were told once.
+    """
+
+    def __init__(self, name: str, log: EventLog):
+        self.name = name
+        self.log = log
+        self.new: list[T] = []
+        self.repeated: list[T] = []
+
+    def add(self, item: T) -> None:
+        """Add an item; beyond ``MAX_ANNOUNCED_JOBS`` it is not told."""
+        if len(self.new) < MAX_ANNOUNCED_JOBS:
+            self.new.append(item)
+        else:
+            self.log.write("jobs.not_announced", kind=self.name)
+
+    def take(self) -> list[T]:
+        """Return the items of the next announcement."""
+        told, self.repeated, self.new = self.repeated + self.new, self.new, []
+        return told
+
+
 class PeerJobs:
     """Exchanges with the other entries what callers may ask any entry for.
 
     Attributes:
         jobs: The jobs of this entry.
         peers: Returns the addresses of the entries that may have jobs.
-        unannounced: Jobs that have ended since the last announcement.
-        announced: Jobs of the last announcement. The next one repeats them, as a
-            datagram may be lost.
+        ended: Jobs that have succeeded or failed here.
+        cancelled: Jobs that callers have cancelled here.
         open_queries: Number of the queries that wait for peers.
     """
 
@@ -91,11 +121,11 @@
         self.mailer = mailer
         self.peers = peers
         self.log = log
-        self.unannounced: list[EndedJob] = []
-        self.announced: list[EndedJob] = []
+        self.ended: Announcements[EndedJob] = Announcements("ended", log)
+        self.cancelled: Announcements[JobKey] = Announcements("cancelled", log)
         self.open_queries = 0
         self.nursery: trio.Nursery | None = None
-        jobs.records.on_ended = self.unannounced.append
+        jobs.records.on_ended = self.ended.add
 
     async def run(self) -> None:
         """Announce ended jobs until cancelled."""
@@ -107,24 +137,26 @@
 
     def announce(self) -> None:
         """Tell the peers of the jobs that ended since the last announcement but one."""
-        new = self.unannounced[:MAX_ANNOUNCED_JOBS]
-        del self.unannounced[: len(new)]
-        if len(self.unannounced) > MAX_ANNOUNCED_JOBS:
-            self.log.write("jobs.not_announced", count=len(self.unannounced))
-            self.unannounced.clear()
-        jobs, self.announced = self.announced + new, new
-        if jobs:
+        jobs = self.ended.take()
+        cancelled = self.cancelled.take()
+        if jobs or cancelled:
             for peer in self.peers():
-                self.mailer.post(peer, JobsEnded(jobs))
+                self.mailer.post(peer, JobsEnded(jobs, cancelled))
+
+    def tell_cancelled(self, key: JobKey) -> None:
+        """Let the peers cancel a job, without waiting for their answers."""
+        self.cancelled.add(key)
 
     def handle_message(
         self, sender: LinkAddress, message: JobsEnded | JobQuery
     ) -> None:
         """Process a message of another entry."""
         match message:
-            case JobsEnded(jobs=jobs):
+            case JobsEnded(jobs=jobs, cancelled=cancelled):
                 for job in jobs:
                     self.jobs.records.record_end(job)
+                for key in cancelled:
+                    self.jobs.cancel(key)
             case JobQuery(key=key):
                 if message.cancels:
                     self.jobs.cancel(key)
@@ -154,10 +186,6 @@
             self.log.write("job.peers_silent", request=key.id, error=str(result.error))
         return result
 
-    def tell_cancelled(self, key: JobKey) -> None:
-        """Tell all peers that a job is cancelled, without waiting for them."""
-        self._begin_query(key, cancels=True)
-
     def _begin_query(self, key: JobKey, cancels: bool) -> OpenQuery | None:
         if self.open_queries >= MAX_OPEN_QUERIES:
             return None
@@ -166,11 +194,11 @@
         if not peers:
             query.decided.set()
         else:
+            self.open_queries += 1
             self.nursery.start_soon(self._ask_all, query, key, cancels)
         return query
 
     async def _ask_all(self, query: OpenQuery, key: JobKey, cancels: bool) -> None:
-        self.open_queries += 1
         try:
             async with trio.open_nursery() as nursery:
                 for peer in list(query.unanswered):
--- a/bergamotcourse/coordination/jobs/peers.py
+++ b/bergamotcourse/coordination/jobs/peers.py
@@ -49,9 +49,9 @@
 """Silence after which a peer that is not from the settings is removed."""
 
 
-PEER_SILENCE_SECONDS = 5.0
-"""Silence after which a peer has no runs left: agents stop those of an entry that does
-not answer. It is twice the time between two greetings of 35 entries."""
+FIRST_GREETING_SECONDS = 5.0
+"""Time within which a peer greets an entry that has found it; another address may be
+nobody's. It is twice the time between two greetings of 35 entries."""
 
 
 @dataclass(frozen=True)
@@ -100,6 +100,11 @@
     served_seconds: float = math.inf
     former_seconds: float = math.inf
 
+    def is_newly_found(self, now: float) -> bool:
+        """Return whether the peer has not greeted yet, and may soon."""
+        never = self.greeted_at == -math.inf
+        return never and now - self.heard_at <= FIRST_GREETING_SECONDS
+
     def update(self, now: float, status: EntryStatus) -> None:
         """Adopt what the peer tells of itself."""
         self.heard_at = self.greeted_at = now
@@ -177,16 +182,13 @@
                 self.peers[address] = Peer(address, self.timers.now(), from_settings)
             self.peers[address].from_settings |= from_settings
 
-    def heard_lately(self) -> list[LinkAddress]:
-        """Return the peers that may have jobs, as they do not seem to be gone.
-
-        An address that was only read from the store may be nobody's.
-        """
+    def may_have_jobs(self) -> list[LinkAddress]:
+        """Return the peers that may have jobs, as they don't seem to be gone."""
         now = self.timers.now()
         return [
             address
             for address, peer in self.peers.items()
-            if now - peer.greeted_at <= PEER_SILENCE_SECONDS
+            if now - peer.greeted_at <= PEER_EXPIRY_SECONDS or peer.is_newly_found(now)
         ]
 
     def handle_message(self, sender: LinkAddress, message: Message) -> None:
--- a/bergamotcourse/daemons/job_entry.py
+++ b/bergamotcourse/daemons/job_entry.py
@@ -92,7 +92,7 @@
             sheds_load=node.policy.turns_away_when_short,
         )
         self.peer_jobs = PeerJobs(
-            self.jobs, node.mailer, self.peers.heard_lately, node.log
+            self.jobs, node.mailer, self.peers.may_have_jobs, node.log
         )
         self.service = JobService(
             self.queues, self.jobs, processor, node.log, self.peer_jobs
--- a/bergamotcourse/protocol/task_messages.py
+++ b/bergamotcourse/protocol/task_messages.py
@@ -274,9 +274,15 @@
 
 
 class JobsEnded(Message, frozen=True):
-    """An entry tells the others of jobs that have ended at it."""
+    """An entry tells the others of jobs that have ended at it.
+
+    Attributes:
+        jobs: Jobs that have succeeded or failed.
+        cancelled: Jobs that callers have cancelled; the receiver must not run them.
+    """
 
     jobs: list[EndedJob]
+    cancelled: list[JobKey] = []
 
 
 class JobQuery(Message, frozen=True):
--- a/bergamotcourse/tests/jobs/test_jobs_at_other_entries.py
+++ b/bergamotcourse/tests/jobs/test_jobs_at_other_entries.py
@@ -1,7 +1,10 @@
 """Jobs that are submitted again, cancelled or asked for at any entry."""
 
+from types import SimpleNamespace
+
 import pytest
 import trio
+import trio.testing
 
 from bergamotcourse.coordination.event_log import EventLog
 from bergamotcourse.coordination.jobs import ended_jobs
@@ -13,8 +16,15 @@
     MAX_OPEN_QUERIES,
     PeerJobs,
 )
+from bergamotcourse.coordination.jobs.peers import (
+    FIRST_GREETING_SECONDS,
+    PEER_EXPIRY_SECONDS,
+    EntryStatus,
+    Peers,
+)
 from bergamotcourse.coordination.jobs.processor_lag import ProcessorLag
 from bergamotcourse.coordination.jobs.queues_in_force import QueuesInForce
+from bergamotcourse.errors import Step
 from bergamotcourse.protocol.task_messages import EndedJob, JobsEnded
 from bergamotcourse.state.job_spec import JobState
 from bergamotcourse.tests.jobs.fleets import (
@@ -190,6 +200,47 @@
 
         run_fleet(main)
 
+    def test_stops_a_job_that_is_run_again_by_an_entry_that_has_started_since(self):
+        """Guards against a run that goes on where its end was never announced."""
+
+        async def main(fleet):
+            spec = job("a", tasks=1, work=3.0)
+            await submit(fleet, "entry-2", spec)
+            await trio.sleep(SECONDS_UNTIL_AGAIN)
+            fleet.entries["entry-1"].kill()
+            fleet.start_entry("entry-1")
+            await trio.sleep(SECONDS_UNTIL_AGAIN)
+            fleet.nursery.start_soon(submit, fleet, "entry-1", spec)
+            with trio.fail_after(TIMEOUT_SECONDS):
+                while len(runs_of(fleet, spec.id)) < 2:
+                    await trio.sleep(0.005)
+            assert (await cancel(fleet, "entry-2", spec)).ok is False
+            await trio.sleep(SECONDS_UNTIL_AGAIN)
+            assert runs_of(fleet, "a")[1].kind.value == "stopped"
+
+        run_fleet(main)
+
+    def test_that_is_repeated_is_acknowledged_again(self):
+        """Guards against "no such job" when the answer of an entry was lost."""
+
+        async def main(fleet):
+            spec = job("a", tasks=1, work=3.0)
+            await start_job(fleet, spec, [])
+            for name in ("entry-2", "entry-2", "entry-1"):
+                assert (await cancel(fleet, name, spec)).ok is True
+                await trio.sleep(SECONDS_UNTIL_AGAIN)
+            assert (await state(fleet, "entry-2", spec)).ok is JobState.CANCELLED
+
+        run_fleet(main)
+
+    def test_of_a_job_that_nobody_submitted_shows_no_job(self):
+        async def main(fleet):
+            spec = job("a")
+            assert (await cancel(fleet, "entry-2", spec)).ok is False
+            assert (await state(fleet, "entry-1", spec)).ok is None
+
+        run_fleet(main)
+
 
 class TestStateAtAnotherEntry:
     def test_is_that_of_the_job(self):
@@ -231,16 +282,51 @@
         async def main(fleet):
             entry = fleet.entries["entry-1"]
             posted = []
-            entry.mailer.post = lambda _peer, message: posted.append(message)
+            entry.mailer.post = lambda _peer, message: posted.append(message) or True
             peer_jobs = PeerJobs(entry.jobs, entry.mailer, ENTRIES.copy, entry.log)
-            many = 3 * MAX_ANNOUNCED_JOBS
-            peer_jobs.unannounced += [EndedJob(n, 0, True) for n in range(many)]
+            for number in range(3 * MAX_ANNOUNCED_JOBS):
+                peer_jobs.ended.add(EndedJob(number, 0, True))
+                peer_jobs.tell_cancelled(QUEUE.key(str(number)))
             peer_jobs.announce()
             assert isinstance(posted[0], JobsEnded)
             assert len(posted[0].jobs) == MAX_ANNOUNCED_JOBS
-            assert len(peer_jobs.unannounced) <= MAX_ANNOUNCED_JOBS
-            peer_jobs.open_queries = MAX_OPEN_QUERIES
-            asked = await peer_jobs.ask(QUEUE.key("a"), False, TIMEOUT_SECONDS)
-            assert asked.is_error()
+            assert len(posted[0].cancelled) == MAX_ANNOUNCED_JOBS
+            async with trio.open_nursery() as nursery:
+                nursery.start_soon(peer_jobs.run)
+                await trio.testing.wait_all_tasks_blocked()
+                for number in range(MAX_OPEN_QUERIES):
+                    key = QUEUE.key(str(number))
+                    nursery.start_soon(peer_jobs.ask, key, False, TIMEOUT_SECONDS)
+                await trio.testing.wait_all_tasks_blocked()
+                asked = await peer_jobs.ask(QUEUE.key("a"), False, TIMEOUT_SECONDS)
+                assert asked.error.step is Step.SEND
+                nursery.cancel_scope.cancel()
 
         run_fleet(main)
+
+
+class TestPeersThatMayHaveJobs:
+    def make_peers(self, now):
+        clock = SimpleNamespace(now=lambda: now[0])
+        queues = SimpleNamespace()
+        return Peers("tcp://entry-1", None, clock, queues, None, EventLog())
+
+    def test_include_those_that_are_silent_until_they_expire(self):
+        """Guards against "no such job" while a link between two entries is cut."""
+        now = [0.0]
+        peers = self.make_peers(now)
+        peers.learn(["tcp://entry-2"])
+        peers.peers["tcp://entry-2"].update(1.0, EntryStatus())
+        now[0] = 1.0 + PEER_EXPIRY_SECONDS
+        assert peers.may_have_jobs() == ["tcp://entry-2"]
+        now[0] += 0.1
+        assert peers.may_have_jobs() == []
+
+    def test_include_an_address_that_has_not_greeted_only_at_first(self):
+        """Guards against requests that fail for an address of nobody."""
+        now = [0.0]
+        peers = self.make_peers(now)
+        peers.learn(["tcp://nobody"], from_settings=True)
+        assert peers.may_have_jobs() == ["tcp://nobody"]
+        now[0] = FIRST_GREETING_SECONDS + 0.1
+        assert peers.may_have_jobs() == []
--- a/bergamotcourse/tests/platform/callers_protocol.py
+++ b/bergamotcourse/tests/platform/callers_protocol.py
@@ -217,9 +217,8 @@
     queues = QueuesInForce(decode_queues, entry.log)
     queues.adopt(msgspec.json.encode(CONFIG), "test")
     processor = ProcessorLag(Timers(), EventLog())
-    peers = [entry.peer_jobs] if hasattr(entry, "peer_jobs") else []
     return CallerRequestHandler(
-        JobService(queues, entry.jobs, processor, entry.log, *peers)
+        JobService(queues, entry.jobs, processor, entry.log, entry.peer_jobs)
     )
 
 
--- a/bergamotcourse/tests/platform/test_callers_protocol.py
+++ b/bergamotcourse/tests/platform/test_callers_protocol.py
@@ -3,7 +3,7 @@
 To run many more sequences by hand, each time other ones:
 
     CALLERS_PROTOCOL_EXAMPLES=5000 .venv/bin/python -m pytest \
-        bergamotcourse/tests/jobs/test_callers_protocol.py -k sequence
+        bergamotcourse/tests/platform/test_callers_protocol.py -k sequence
 """
 
 import os
@@ -11,7 +11,7 @@
 from hypothesis import HealthCheck, given, settings
 from hypothesis import strategies as st
 
-from bergamotcourse.tests.jobs.callers_protocol import (
+from bergamotcourse.tests.platform.callers_protocol import (
     DEADLINE_SECONDS,
     JOB_WORK_SECONDS,
     Ask,
