--- a/bergamotcourse/protocol/task_messages.py
+++ b/bergamotcourse/protocol/task_messages.py
@@ -282,7 +282,7 @@
     """
 
     jobs: list[EndedJob]
-    cancelled: list[JobKey] = []
+    cancelled: list[JobKey]
 
 
 class JobQuery(Message, frozen=True):
