Look up an ended job, and begin a query, in one place

JobRecords asked for a digest and the time at three places, and a cancellation tested for an end by two nested conditions. PeerJobs kept a function for beginning a query that only one caller was left of, since cancellations go out with the announcements. A job's success or failure was spelled out beside the property for it, and a queue's address stood beside the job's key. No behaviour changes.

--- a/bergamotcourse/coordination/jobs/job_records.py
+++ b/bergamotcourse/coordination/jobs/job_records.py
@@ -39,12 +39,12 @@
         return job if job is not None and job.key == key else None
 
     def record_end(self, ended: EndedJob) -> None:
-        """Remember a job that has ended at another entry."""
+        """Remember a job that has ended, here or at another entry."""
         self.ended.add(ended, self.timers.now())
 
     def has_ended(self, key: JobKey) -> bool:
         """Return whether a job is known to have succeeded or failed."""
-        return self.ended.find(key.digest(), self.timers.now()) is not None
+        return self._find_ended(key) is not None
 
     def is_cancelled(self, key: JobKey) -> bool:
         """Return whether a caller has cancelled a job lately."""
@@ -63,8 +63,7 @@
 
         A job that was submitted with another body under the same id is not the same.
         """
-        digest = queue.key(spec.id).digest()
-        ended = self.ended.find(digest, self.timers.now())
+        ended = self._find_ended(queue.key(spec.id))
         if ended is None or ended.spec != spec.digest():
             return None
         return JobOutcome.SUCCEEDED if ended.succeeded else JobOutcome.FAILED
@@ -90,7 +89,7 @@
                 return None
 
     def _former_state(self, key: JobKey) -> JobState | None:
-        ended = self.ended.find(key.digest(), self.timers.now())
+        ended = self._find_ended(key)
         if ended is not None:
             return JobState.SUCCEEDED if ended.succeeded else JobState.FAILED
         return JobState.CANCELLED if self.is_cancelled_here(key) else None
@@ -102,17 +101,19 @@
         if job.has_ended:
             succeeded = job.outcome is JobOutcome.SUCCEEDED
             ended = EndedJob(job.key.digest(), job.spec.digest(), succeeded)
-            self.ended.add(ended, self.timers.now())
+            self.record_end(ended)
             self.on_ended(ended)
 
     def record_cancellation(self, key: JobKey) -> None:
         """Remember that a job was cancelled, unless it had ended before."""
         job = self.find(key)
-        if job is not None and job.has_ended:
-            return
-        if job is not None or not self.has_ended(key):
+        had_ended = self.has_ended(key) if job is None else job.has_ended
+        if not had_ended:
             self.cancellations.add(key, self.timers.now(), is_known=job is not None)
 
+    def _find_ended(self, key: JobKey) -> EndedJob | None:
+        return self.ended.find(key.digest(), self.timers.now())
+
 
 def _ignore(_job: EndedJob) -> None:
     """Discard the end of a job."""
--- a/bergamotcourse/coordination/jobs/job_run.py
+++ b/bergamotcourse/coordination/jobs/job_run.py
@@ -194,7 +194,7 @@
 
     def is_of(self, spec: JobSpec, queue: JobQueue) -> bool:
         """Return whether a submission to a queue is one of this job."""
-        return self.spec == spec and self.queue.address == queue.address
+        return self.spec == spec and self.key == queue.key(spec.id)
 
     def may_be_joined(self) -> bool:
         """Return whether a further call for a job may get the outcome of this one.
@@ -202,7 +202,7 @@
         Any other outcome than success and failure concerns the earlier calls: they were
         refused, their time was over, or their callers had left.
         """
-        return self.outcome in (None, JobOutcome.SUCCEEDED, JobOutcome.FAILED)
+        return self.outcome is None or self.has_ended
 
     @property
     def start_by(self) -> float:
--- a/bergamotcourse/coordination/jobs/peer_jobs.py
+++ b/bergamotcourse/coordination/jobs/peer_jobs.py
@@ -176,9 +176,14 @@
         Returns:
             The state of the job; ``None`` if all have answered that they don't know it.
         """
-        query = self._begin_query(key, cancels)
-        if query is None:
+        if self.open_queries >= MAX_OPEN_QUERIES:
             return Error(StepError(Step.SEND, "", "too many queries for jobs"))
+        peers = self.peers()
+        if not peers:
+            return Ok(None)
+        query = OpenQuery(set(peers))
+        self.open_queries += 1
+        self.nursery.start_soon(self._ask_all, query, key, cancels)
         with trio.move_on_after(seconds):
             await query.decided.wait()
         result = query.result()
@@ -186,18 +191,6 @@
             self.log.write("job.peers_silent", request=key.id, error=str(result.error))
         return result
 
-    def _begin_query(self, key: JobKey, cancels: bool) -> OpenQuery | None:
-        if self.open_queries >= MAX_OPEN_QUERIES:
-            return None
-        peers = self.peers()
-        query = OpenQuery(set(peers))
-        if not peers:
-            query.decided.set()
-        else:
-            self.open_queries += 1
-            self.nursery.start_soon(self._ask_all, query, key, cancels)
-        return query
-
     async def _ask_all(self, query: OpenQuery, key: JobKey, cancels: bool) -> None:
         try:
             async with trio.open_nursery() as nursery:
--- a/bergamotcourse/coordination/jobs/peers.py
+++ b/bergamotcourse/coordination/jobs/peers.py
@@ -48,7 +48,6 @@
 PEER_EXPIRY_SECONDS = 30.0
 """Silence after which a peer that is not from the settings is removed."""
 
-
 FIRST_GREETING_SECONDS = 5.0
 """Time within which a peer greets an entry that has found it; another address may be
 nobody's. It is twice the time between two greetings of 35 entries."""
--- a/bergamotcourse/state/job_spec.py
+++ b/bergamotcourse/state/job_spec.py
@@ -120,11 +120,6 @@
     slack_factor: float = 1.0
     target_latency: float = 0.0
 
-    @property
-    def address(self) -> tuple[str, str]:
-        """Return the host and the path by which callers address the queue."""
-        return self.host, self.path_prefix
-
     def key(self, job_id: JobId) -> JobKey:
         """Return the key of a job of this queue."""
         return JobKey(self.host, self.path_prefix, job_id)
