Leave time for the response in the job operations, for look-ups too

The adapter subtracted the margin for sending a response before it asked for a state or a cancellation, while their documentation, and submissions, take the time for which the caller waits. It's subtracted in JobService now. The service always has the other entries' jobs, so the case without them is gone; it was there for tests alone, which now make their service, and wait for runs, by one function each in fleets.py. No assertion changes.

--- a/bergamotcourse/coordination/jobs/job_service.py
+++ b/bergamotcourse/coordination/jobs/job_service.py
@@ -5,7 +5,10 @@
 from expression import Ok, Result
 
 from bergamotcourse.coordination.event_log import EventLog
-from bergamotcourse.coordination.jobs.job_dispatcher import JobDispatcher
+from bergamotcourse.coordination.jobs.job_dispatcher import (
+    RESPONSE_MARGIN_SECONDS,
+    JobDispatcher,
+)
 from bergamotcourse.coordination.jobs.job_run import JobAnswer, JobOutcome
 from bergamotcourse.coordination.jobs.peer_jobs import PeerJobs
 from bergamotcourse.coordination.jobs.processor_lag import ProcessorLag
@@ -13,6 +16,7 @@
 from bergamotcourse.errors import StepError
 from bergamotcourse.state.job_spec import (
     JobId,
+    JobKey,
     JobQueue,
     JobSpec,
     JobState,
@@ -27,11 +31,7 @@
 
 
 class JobService:
-    """Submits, inspects and cancels jobs of the configured queues.
-
-    Attributes:
-        peer_jobs: The jobs of the other entries; ``None`` if there are no others.
-    """
+    """Submits, inspects and cancels jobs of the configured queues."""
 
     def __init__(
         self,
@@ -39,7 +39,7 @@
         jobs: JobDispatcher,
         processor: ProcessorLag,
         log: EventLog,
-        peer_jobs: PeerJobs | None = None,
+        peer_jobs: PeerJobs,
     ):
         self.queues = queues
         self.jobs = jobs
@@ -158,9 +158,9 @@
         """
         key = queue.key(job_id)
         state = self.jobs.records.state(key)
-        if state is not None or self.peer_jobs is None:
+        if state is not None:
             return Ok(state)
-        return await self.peer_jobs.ask(key, False, seconds)
+        return await self._ask_peers(key, False, seconds)
 
     async def cancel(
         self, job_id: JobId, queue: JobQueue, seconds: float
@@ -175,15 +175,20 @@
         """
         key = queue.key(job_id)
         is_known = self.jobs.cancel(key)
-        if self.peer_jobs is None:
-            return Ok(is_known)
         if is_known or self.jobs.records.has_ended(key):
             # An entry that has not learned of its end may be running it again.
             self.peer_jobs.tell_cancelled(key)
             return Ok(is_known)
-        found = await self.peer_jobs.ask(key, True, seconds)
+        found = await self._ask_peers(key, True, seconds)
         return found.map(lambda state: state is JobState.CANCELLED)
 
+    async def _ask_peers(
+        self, key: JobKey, cancels: bool, seconds: float
+    ) -> Result[JobState | None, StepError]:
+        """Ask the other entries, and leave time for sending the response."""
+        wait = max(0.0, seconds - RESPONSE_MARGIN_SECONDS)
+        return await self.peer_jobs.ask(key, cancels, wait)
+
     def pending(self, queue: JobQueue) -> int:
         """Return the number of jobs of a queue that have not started."""
         return self.jobs.pending_jobs(queue.name)
--- a/bergamotcourse/platform/callers.py
+++ b/bergamotcourse/platform/callers.py
@@ -6,7 +6,6 @@
 
 from expression import Result
 
-from bergamotcourse.coordination.jobs.job_dispatcher import RESPONSE_MARGIN_SECONDS
 from bergamotcourse.coordination.jobs.job_run import JobAnswer, JobOutcome
 from bergamotcourse.coordination.jobs.job_service import JobService
 from bergamotcourse.errors import StepError
@@ -64,7 +63,7 @@
     async def _look_up(
         self, request: HttpRequest, queue: JobQueue, job_id: JobId
     ) -> HttpResponse:
-        seconds = max(0.0, caller_deadline_seconds(request) - RESPONSE_MARGIN_SECONDS)
+        seconds = caller_deadline_seconds(request)
         if request.method == "GET":
             return state_response(await self.service.state(job_id, queue, seconds))
         return cancel_response(await self.service.cancel(job_id, queue, seconds))
--- a/bergamotcourse/tests/jobs/test_jobs_at_other_entries.py
+++ b/bergamotcourse/tests/jobs/test_jobs_at_other_entries.py
@@ -10,7 +10,6 @@
 from bergamotcourse.coordination.jobs import ended_jobs
 from bergamotcourse.coordination.jobs.ended_jobs import RETENTION_SECONDS, EndedJobs
 from bergamotcourse.coordination.jobs.job_run import JobOutcome
-from bergamotcourse.coordination.jobs.job_service import JobService
 from bergamotcourse.coordination.jobs.peer_jobs import (
     MAX_ANNOUNCED_JOBS,
     MAX_OPEN_QUERIES,
@@ -22,15 +21,16 @@
     EntryStatus,
     Peers,
 )
-from bergamotcourse.coordination.jobs.processor_lag import ProcessorLag
 from bergamotcourse.coordination.jobs.queues_in_force import QueuesInForce
 from bergamotcourse.errors import Step
 from bergamotcourse.protocol.task_messages import EndedJob, JobsEnded
 from bergamotcourse.state.job_spec import JobState
 from bergamotcourse.tests.jobs.fleets import (
+    make_service,
     run_fleet,
     runs_of,
     submit_all_the_time,
+    wait_for_runs,
 )
 from bergamotcourse.virtual.job_fleet import QUEUE, job
 
@@ -40,14 +40,8 @@
 
 
 def service_of(fleet, name):
-    entry = fleet.entries[name]
-    return JobService(
-        QueuesInForce(lambda _content: None, EventLog()),
-        entry.jobs,
-        ProcessorLag(entry.timers, EventLog()),
-        EventLog(),
-        entry.peer_jobs,
-    )
+    queues = QueuesInForce(lambda _content: None, EventLog())
+    return make_service(fleet.entries[name], queues)
 
 
 async def submit(fleet, name, spec):
@@ -70,8 +64,7 @@
         answers.append(await submit(fleet, "entry-1", spec))
 
     fleet.nursery.start_soon(wait_for_answer)
-    while len(runs_of(fleet, spec.id)) < spec.steps[0].count:
-        await trio.sleep(0.005)
+    await wait_for_runs(fleet, spec, spec.steps[0].count)
 
 
 class TestJobThatComesAgainAfterItsSuccess:
@@ -212,8 +205,7 @@
             await trio.sleep(SECONDS_UNTIL_AGAIN)
             fleet.nursery.start_soon(submit, fleet, "entry-1", spec)
             with trio.fail_after(TIMEOUT_SECONDS):
-                while len(runs_of(fleet, spec.id)) < 2:
-                    await trio.sleep(0.005)
+                await wait_for_runs(fleet, spec, 2)
             assert (await cancel(fleet, "entry-2", spec)).ok is False
             await trio.sleep(SECONDS_UNTIL_AGAIN)
             assert runs_of(fleet, "a")[1].kind.value == "stopped"
--- a/bergamotcourse/tests/jobs/test_rejoined_jobs.py
+++ b/bergamotcourse/tests/jobs/test_rejoined_jobs.py
@@ -9,7 +9,7 @@
     Cancellations,
 )
 from bergamotcourse.coordination.jobs.job_run import JobOutcome
-from bergamotcourse.tests.jobs.fleets import run_fleet, runs_of
+from bergamotcourse.tests.jobs.fleets import run_fleet, runs_of, wait_for_runs
 from bergamotcourse.virtual.job_fleet import QUEUE, job
 
 WORK_SECONDS = 0.5
@@ -44,11 +44,6 @@
             self.dispatcher.handle_contact_resumed(link)
 
 
-async def wait_for_runs(fleet, spec, count=1):
-    while len(runs_of(fleet, spec.id)) < count:
-        await trio.sleep(0.005)
-
-
 class TestCallThatFindsAnAbandonedJob:
     def test_gets_the_outcome_of_its_own_run(self):
         """Guards against an answer that belongs to calls whose callers have left."""
--- a/bergamotcourse/tests/platform/callers_protocol.py
+++ b/bergamotcourse/tests/platform/callers_protocol.py
@@ -7,15 +7,11 @@
 import msgspec
 import trio
 
-from bergamotcourse.coordination.event_log import EventLog
-from bergamotcourse.coordination.jobs.job_service import JobService
-from bergamotcourse.coordination.jobs.processor_lag import ProcessorLag
 from bergamotcourse.coordination.jobs.queues_in_force import QueuesInForce
-from bergamotcourse.coordination.timers import Timers
 from bergamotcourse.platform.callers import CallerRequestHandler
 from bergamotcourse.platform.documents import decode_queues
 from bergamotcourse.protocol.upstream_orders import EndKind
-from bergamotcourse.tests.jobs.fleets import run_fleet, runs_of
+from bergamotcourse.tests.jobs.fleets import make_service, run_fleet, runs_of
 from bergamotcourse.transport.http import HttpRequest
 from bergamotcourse.virtual.job_fleet import NEEDS, QUEUE, SERVICE
 
@@ -216,10 +212,7 @@
     """Return the handler of callers' requests to an entry."""
     queues = QueuesInForce(decode_queues, entry.log)
     queues.adopt(msgspec.json.encode(CONFIG), "test")
-    processor = ProcessorLag(Timers(), EventLog())
-    return CallerRequestHandler(
-        JobService(queues, entry.jobs, processor, entry.log, entry.peer_jobs)
-    )
+    return CallerRequestHandler(make_service(entry, queues))
 
 
 class Callers:
--- a/bergamotcourse/tests/platform/test_caller_requests.py
+++ b/bergamotcourse/tests/platform/test_caller_requests.py
@@ -8,17 +8,14 @@
 
 from bergamotcourse.coordination.event_log import EventLog
 from bergamotcourse.coordination.jobs.job_run import JobAnswer, JobOutcome, JobRun
-from bergamotcourse.coordination.jobs.job_service import JobService
-from bergamotcourse.coordination.jobs.processor_lag import ProcessorLag
 from bergamotcourse.coordination.jobs.queues_in_force import QueuesInForce
-from bergamotcourse.coordination.timers import Timers
 from bergamotcourse.platform.callers import (
     CallerRequestHandler,
     ReadinessHandler,
     job_response,
 )
 from bergamotcourse.platform.documents import decode_job, decode_queues
-from bergamotcourse.tests.jobs.fleets import run_fleet
+from bergamotcourse.tests.jobs.fleets import make_service, run_fleet
 from bergamotcourse.transport.http import HttpRequest
 
 ID = "5c0e7a21d94b36f8"
@@ -47,10 +44,7 @@
     queues = QueuesInForce(decode_queues, EventLog())
     if configured:
         queues.adopt(msgspec.json.encode(CONFIG), "test")
-    jobs = fleet.entries["entry-1"].jobs
-    processor = ProcessorLag(Timers(), EventLog())
-    service = JobService(queues, jobs, processor, EventLog())
-    return CallerRequestHandler(service)
+    return CallerRequestHandler(make_service(fleet.entries["entry-1"], queues))
 
 
 async def ask(front, method, path, body=None, host="one.example", deadline="3000"):
@@ -175,7 +169,9 @@
     )
     def test_arbitrary_requests_get_client_errors(self, method, path, body, wait):
         class Fleet:
-            entries = {"entry-1": type("Entry", (), {"jobs": None})()}
+            entries = {
+                "entry-1": type("Entry", (), {"jobs": None, "peer_jobs": None})()
+            }
 
         async def main():
             response = await ask(
