--- a/bergamotcourse/tests/platform/soak/callers.py
+++ b/bergamotcourse/tests/platform/soak/callers.py
@@ -9,7 +9,9 @@
 from bergamotcourse.tests.platform.cluster import make_job
 from bergamotcourse.tests.platform.soak.other_calls import OtherCalls
 from bergamotcourse.tests.platform.soak.proxied_cluster import ProxiedCluster
+from bergamotcourse.tests.platform.soak.recorded_calls import job_of
 from bergamotcourse.tests.platform.soak.records import (
+    ANSWERED_OUTCOMES,
     DEFAULT_VARIANT,
     KIND_LABELS,
     Attempt,
@@ -47,7 +49,6 @@
 BURST_INTERVAL_SECONDS = (1.0, 3.0)
 BURST_JOBS_PER_AGENT = 6
 
-ANSWERED_OUTCOMES = (CallerOutcome.SUCCEEDED, CallerOutcome.FAILED)
 INTERRUPTED_OUTCOMES = frozenset((CallerOutcome.CUT, CallerOutcome.NOT_SENT))
 
 
@@ -254,7 +255,7 @@
             label=label,
             estimate=self.habits.estimate,
         )
-        job = request.target.rpartition("/")[2]
+        job = job_of(request)
         is_long = work >= LONG_TASK_FROM_SECONDS
         self.cancelled_share = CANCELLED_LONG_SHARE if is_long else CANCELLED_SHARE
         self.records.tasks[job] = tasks
@@ -263,7 +264,7 @@
         for _ in range(MAX_ATTEMPTS):
             outcome = await self._attempt(job, request)
             if self.habits.repeats and outcome in ANSWERED_OUTCOMES:
-                self.repeated.plan(job, request)
+                self.repeated.plan(request)
             if outcome not in self.habits.retried_outcomes:
                 return
             await trio.sleep(RESEND_SECONDS)
@@ -287,13 +288,12 @@
 
     async def _send(self, job, request) -> CallerOutcome:
         if self.habits.repeats and self.rng.random() < self.cancelled_share:
-            self.repeated.cancel_beside(job, request, self.entry)
+            self.repeated.cancel_beside(request, self.entry)
         if self.rng.random() >= self.habits.interference_share:
             return await self._call(job, request)
         beside = OtherCalls(
             self.records,
             self.rng,
-            job,
             request,
             self.entry,
             (self.client.host, self.client.port),
--- a/bergamotcourse/tests/platform/soak/odd_entries.py
+++ b/bergamotcourse/tests/platform/soak/odd_entries.py
@@ -9,6 +9,7 @@
 from bergamotcourse.tests.platform.cluster import make_job, send_request
 from bergamotcourse.tests.platform.odd_values import json_variants, row_variants
 from bergamotcourse.tests.platform.soak.proxied_cluster import ProxiedCluster
+from bergamotcourse.tests.platform.soak.recorded_calls import job_of
 from bergamotcourse.tests.platform.soak.records import Records
 from bergamotcourse.tests.platform.test_store import REPORT
 from bergamotcourse.transport.http import HttpRequest
@@ -101,5 +102,5 @@
         names = [name for name in variants if not name.startswith("spec")]
         headers = [("host", "one.example"), ("bergamotcourse-deadline-ms", "9" * 400)]
         request = replace(job, headers=headers, body=variants[self.rng.choice(names)])
-        self.records.tasks[job.target.rpartition("/")[2]] = TASKS
+        self.records.tasks[job_of(job)] = TASKS
         await send_request(entry.addresses["front"], request, CALL_TIMEOUT_SECONDS)
--- a/bergamotcourse/tests/platform/soak/other_calls.py
+++ b/bergamotcourse/tests/platform/soak/other_calls.py
@@ -5,15 +5,16 @@
 
 import trio
 
-from bergamotcourse.tests.platform.cluster import send_request
-from bergamotcourse.tests.platform.soak.records import Attempt, Cancellation, Records
-from bergamotcourse.tests.platform.soak.responses import classify_response
+from bergamotcourse.tests.platform.soak.recorded_calls import (
+    cancel_job,
+    submit_job_again,
+)
+from bergamotcourse.tests.platform.soak.records import Records
 from bergamotcourse.transport.http import HttpRequest
 
 DELAY_SECONDS = (0.0, 0.6)
 DEADLINES_MS = (300, 1000, 3000)
 RESUBMITTED_SHARE = 0.6
-CANCEL_TIMEOUT_SECONDS = 3.0
 CALL_TIMEOUT_SECONDS = 4.0
 DEADLINE_HEADER = "bergamotcourse-deadline-ms"
 
@@ -26,7 +27,6 @@
     own doing: after a failure callers wait until the runs of a lost entry have ended.
 
     Attributes:
-        job: The id of the job.
         request: The request that submits it.
         entry: The entry to which it was submitted.
         address: The address of that entry.
@@ -34,7 +34,6 @@
 
     records: Records
     rng: random.Random
-    job: str
     request: HttpRequest
     entry: str
     address: tuple[str, int]
@@ -58,16 +57,10 @@
 
     async def _cancel(self) -> bool:
         """Cancel the job; return whether the entry has acknowledged it."""
-        request = replace(self.request, method="DELETE", body=b"")
-        sent_at = trio.current_time()
-        answer = await send_request(self.address, request, CANCEL_TIMEOUT_SECONDS)
-        acknowledged = answer.is_ok() and answer.ok.status == 200
-        self.records.count("cancel")
-        self.records.cancellations.append(
-            Cancellation(
-                self.job, self.entry, sent_at, trio.current_time(), acknowledged
-            )
+        acknowledged = await cancel_job(
+            self.records, self.entry, self.address, self.request
         )
+        self.records.count("cancel")
         return acknowledged
 
     async def _submit(self) -> None:
@@ -78,10 +71,6 @@
             for name, value in self.request.headers
         ]
         request = replace(self.request, headers=headers)
-        sent_at = trio.current_time()
-        answer = await send_request(self.address, request, CALL_TIMEOUT_SECONDS)
-        outcome, status = classify_response(answer)
-        self.records.count("submit again")
-        self.records.attempts.append(
-            Attempt(self.job, self.entry, sent_at, trio.current_time(), outcome, status)
+        await submit_job_again(
+            self.records, self.entry, self.address, request, CALL_TIMEOUT_SECONDS
         )
--- a/bergamotcourse/tests/platform/soak/records.py
+++ b/bergamotcourse/tests/platform/soak/records.py
@@ -31,6 +31,10 @@
     """A status of success, and a body without a state that a submission may have."""
 
 
+ANSWERED_OUTCOMES = (CallerOutcome.SUCCEEDED, CallerOutcome.FAILED)
+LEFT_OUTCOMES = (CallerOutcome.CUT, CallerOutcome.NO_RESPONSE, CallerOutcome.LEFT)
+
+
 @dataclass(frozen=True)
 class Attempt:
     """One attempt to submit a job; times in seconds of the soak's clock."""
--- a/bergamotcourse/tests/platform/soak/repeats.py
+++ b/bergamotcourse/tests/platform/soak/repeats.py
@@ -6,6 +6,8 @@
 from bergamotcourse.standins.order_upstream import Run
 from bergamotcourse.state.job_spec import job_id_of_task
 from bergamotcourse.tests.platform.soak.records import (
+    ANSWERED_OUTCOMES,
+    LEFT_OUTCOMES,
     Attempt,
     CallerOutcome,
     Cancellation,
@@ -25,14 +27,7 @@
 SENDING_SECONDS = 0.1
 """Time after which an entry has read the request of an undisturbed connection."""
 
-ANSWERED_OUTCOMES = (CallerOutcome.SUCCEEDED, CallerOutcome.FAILED)
-
-UNANSWERED_OUTCOMES = (
-    CallerOutcome.NOT_SENT,
-    CallerOutcome.CUT,
-    CallerOutcome.NO_RESPONSE,
-    CallerOutcome.LEFT,
-)
+UNANSWERED_OUTCOMES = (CallerOutcome.NOT_SENT, *LEFT_OUTCOMES)
 
 
 def must_know(
--- a/bergamotcourse/tests/platform/soak/run.py
+++ b/bergamotcourse/tests/platform/soak/run.py
@@ -11,6 +11,7 @@
 from bergamotcourse.tests.platform.soak.callers import Callers
 from bergamotcourse.tests.platform.soak.faults import Faults
 from bergamotcourse.tests.platform.soak.proxied_cluster import ProxiedCluster
+from bergamotcourse.tests.platform.soak.recorded_calls import job_of
 from bergamotcourse.tests.platform.soak.records import DEFAULT_VARIANT, Records, Variant
 from bergamotcourse.tests.platform.soak.standstill import record_stalls
 from bergamotcourse.tests.platform.soak.verdict import (
@@ -148,7 +149,7 @@
 ) -> bool:
     """Return whether an entry answers a new job on the latest route with success."""
     request = make_job(number, 0.05, 2, prefix=cluster.newest_route_prefix())
-    records.tasks[request.target.rpartition("/")[2]] = 2
+    records.tasks[job_of(request)] = 2
     answer = await send_request(node.addresses["front"], request)
     return answer.is_ok() and answer.ok.status == 200
 
--- a/bergamotcourse/tests/platform/soak/verdict.py
+++ b/bergamotcourse/tests/platform/soak/verdict.py
@@ -10,6 +10,7 @@
 from bergamotcourse.state.job_spec import job_id_of_task
 from bergamotcourse.tests.platform.cluster import MAX_TASK_ATTEMPTS, Node
 from bergamotcourse.tests.platform.soak.records import (
+    LEFT_OUTCOMES,
     Attempt,
     CallerOutcome,
     Disruption,
@@ -45,8 +46,6 @@
 """Fewest attempts that show an overload, and fewest successes elsewhere that show that
 jobs could be served."""
 
-LEFT_OUTCOMES = (CallerOutcome.CUT, CallerOutcome.NO_RESPONSE, CallerOutcome.LEFT)
-
 BEGUN_CALL_EVENTS = ("job.taken", "job.joined", "job.ended_before")
 
 ORDERED_EXIT_CODES = (0, -signal.SIGKILL, -signal.SIGTERM)
